--- a/tealrill/state/budget.py
+++ b/tealrill/state/budget.py
@@ -8,16 +8,17 @@
 
 
 class Budget:
-    """A token bucket that holds one second's worth.
+    """A token bucket that holds one second's worth, or `depth`.
 
     Work that can wait leaves a part of the bucket alone, so that what users wait for goes first.
     """
 
     _KEPT_FOR_URGENT = 0.4
 
-    def __init__(self, rate: float) -> None:
+    def __init__(self, rate: float, depth: float | None = None) -> None:
         self._rate = rate
-        self._tokens = rate
+        self._depth = depth
+        self._tokens = self.burst
         self._at: Steady = steady_now()
 
     def set_rate(self, rate: float) -> None:
@@ -27,7 +28,7 @@
 
     @property
     def burst(self) -> float:
-        return max(1.0, self._rate)
+        return max(1.0, self._depth if self._depth is not None else self._rate)
 
     def available(self, urgent: bool = True) -> float:
         self._refill()
@@ -47,13 +48,11 @@
                 return
             await asyncio.sleep(max(0.005, (need - have) / self._rate))
 
-    async def take_within(self, timeout_s: float) -> bool:
-        """One token, if it comes in time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.take()
-        except TimeoutError:
+    def take_now(self) -> bool:
+        """One token, if there is one at this moment."""
+        if self.available() < 1.0:
             return False
+        self.spend(1.0)
         return True
 
     def _refill(self) -> None:
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -17,6 +17,10 @@
 from tealrill.types import LeaseId, Revision
 
 _PAGE = 500
+_ACCEPT_SHARE = 0.5
+_LEADER_SHARE = 0.6
+_LEADER_WRITES = 0.8
+"""Changes are nearly all the leader's; what it leaves is for acceptances and cancellations."""
 
 
 class StateError(Exception):
@@ -27,6 +31,10 @@
     """Certainly not executed (503, 429, or it never left this node)."""
 
 
+class Busy(Refused):
+    """Above the rate limit (429); a moment later it may be taken."""
+
+
 class Unknown(StateError):
     """It may have been executed, or may yet be."""
 
@@ -57,17 +65,22 @@
         self._leads = False
         self.requests = Budget(self._share() * limits.rps)
         self.writes = Budget(self._share() * limits.write_rps)
+        self.accepts = Budget(_ACCEPT_SHARE * limits.write_rps, depth=limits.write_rps)
+        """Acceptances. Users come to nodes by chance and in bursts, so a node's equal part of the
+        rate refused most of a burst while the other parts lay idle. The parts of all nodes add up
+        to more than the rate; where that shows, the state service answers 429."""
 
     def set_leading(self, leads: bool) -> None:
         """The leader keeps the book, so it has the larger share."""
         self._leads = leads
         self.requests.set_rate(self._share() * self._limits.rps)
-        self.writes.set_rate(self._share() * self._limits.write_rps)
+        share = _LEADER_WRITES if leads else self._share()
+        self.writes.set_rate(share * self._limits.write_rps)
 
     def _share(self) -> float:
         if self._nodes == 1:
             return 0.95
-        return 0.6 if self._leads else 0.35 / (self._nodes - 1)
+        return _LEADER_SHARE if self._leads else 0.35 / (self._nodes - 1)
 
     async def get(self, key: str, urgent: bool = True) -> wire.KeyValue | None:
         await self.requests.take(urgent=urgent)
@@ -156,8 +169,10 @@
 
     @staticmethod
     def _check(answer: Answer, ok: int = 200) -> None:
-        if answer.status in (503, 429):
-            raise Refused(f"status {answer.status}")
+        if answer.status == 429:
+            raise Busy("status 429")
+        if answer.status == 503:
+            raise Refused("status 503")
         if answer.status == 400:
             raise Rejected(answer.body[:200].decode("utf-8", "replace"))
         if answer.status != ok:
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections import OrderedDict
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 from tealrill.settings import Settings, Team
 from tealrill.state.book import RUN_PREFIX, job_key, over_key
 from tealrill.state.client import (
+    Busy,
     Committed,
     Failed,
     Refused,
@@ -32,7 +34,8 @@
 log = logging.getLogger(__name__)
 
 _REMEMBERED: Final = 20_000
-_BUDGET_WAIT_S: Final = 0.8
+_ACCEPT_PAUSES_S: Final = (0.03, 0.06)
+"""Pauses before an acceptance that the state service called too much (429) is sent again."""
 _TRIES: Final = 4
 
 
@@ -120,24 +123,38 @@
         return None
 
     async def _accept(self, spec: wire.JobSpec, job_id: JobId) -> Reply:
-        if not await self._client.writes.take_within(_BUDGET_WAIT_S):
-            return _unavailable("too many submissions")
+        if not self._client.accepts.take_now():
+            return self._refuse(job_id, "too many submissions")
         guards = [wire.guard(job_key(job_id), ABSENT), wire.guard(over_key(job_id), ABSENT)]
         record = {"spec": wire.plain(spec), "at": wall_now()}
         try:
-            result = await self._client.commit(
-                guards, [wire.put(job_key(job_id), record)], paid=True
-            )
+            result = await self._commit_accepted(guards, [wire.put(job_key(job_id), record)])
         except Rejected as error:
             return Reply(400, {"error": f"the state service can't keep it: {error}"})
+        except Refused as error:
+            return self._refuse(job_id, str(error))
         except Unknown:
             # It may be kept or may yet be: only what can be read back is accepted.
-            return await self._known(job_id) or _unavailable("not confirmed")
+            return await self._known(job_id) or self._refuse(job_id, "not confirmed")
         if isinstance(result, Committed):
             log.debug("job %s accepted", job_id)
             return Reply(201, wire.accepted(job_id, wire.JOB_PENDING))
         return await self._known(job_id) or _unavailable("not decided")
 
+    async def _commit_accepted(self, guards: list[Any], changes: list[Any]) -> Committed | Failed:
+        """Sent again after a moment when the state service is at its limit, which soon passes."""
+        for pause_s in _ACCEPT_PAUSES_S:
+            try:
+                return await self._client.commit(guards, changes, paid=True)
+            except Busy:
+                await asyncio.sleep(pause_s)
+        return await self._client.commit(guards, changes, paid=True)
+
+    @staticmethod
+    def _refuse(job_id: JobId, why: str) -> Reply:
+        log.info("submission of %s refused: %s", job_id, why)
+        return _unavailable(why)
+
     async def _known(self, job_id: JobId) -> Reply | None:
         """The answer to a repeated submission; None if the job is not known."""
         reply = await self._status(job_id)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -20,7 +20,8 @@
 
 from tealrill import settings, wire
 from tealrill.state.book import Book, job_key
-from tealrill.state.client import Committed, Failed, Refused, StateClient, Unknown
+from tealrill.state.budget import Budget
+from tealrill.state.client import Busy, Committed, Failed, Refused, StateClient, Unknown
 from tealrill.state.election import LEADER_KEY, Leadership
 from tealrill.state.intake import Intake, Reply
 from tealrill.state.keeper import Keeper
@@ -55,7 +56,7 @@
 
     def spend(self, amount: float) -> None: ...
 
-    async def take_within(self, timeout_s: float) -> bool:
+    def take_now(self) -> bool:
         return True
 
 
@@ -69,7 +70,7 @@
         self.keys: dict[str, tuple[Any, int]] = {LEADER_KEY: ({}, 1)}
         self.epoch = 1
         self.late: list[tuple[list[Any], list[Any]]] = []
-        self.writes = self.requests = _Plenty()
+        self.writes = self.requests = self.accepts = _Plenty()
 
     async def get(self, key: str, urgent: bool = True) -> wire.KeyValue | None:
         entry = self.keys.get(key)
@@ -221,3 +222,46 @@
     with pytest.raises(Contradiction):
         for seed in range(400):
             asyncio.run(Service(seed, guarded=False).run(50))
+
+
+class _Throttled(Store):
+    """A state service at its limit: so many transactions are answered 429."""
+
+    def __init__(self, busy: int) -> None:
+        super().__init__(random.Random(0), True)
+        self.calm = True
+        self.busy = busy
+        self.accepts = Budget(1.0, depth=20.0)  # type: ignore[assignment]
+
+    async def commit(
+        self, guards: list[Any], changes: list[Any], paid: bool = False, timeout_s: float = 2.0
+    ) -> Committed | Failed:
+        if self.busy > 0:
+            self.busy -= 1
+            raise Busy("status 429")
+        return await super().commit(guards, changes, paid, timeout_s)
+
+
+def _submit_all(store: Store, count: int) -> list[Reply]:
+    intake = Intake(
+        cast(StateClient, store), settings.parse(orjson.dumps(SETTINGS)), lambda: _CATALOGUE
+    )
+
+    async def run() -> list[Reply]:
+        bodies = [orjson.dumps({**SUBMISSION, "id": f"wk-{n}"}) for n in range(count)]
+        return list(await asyncio.gather(*map(intake.submit, bodies)))
+
+    return asyncio.run(run())
+
+
+def test_a_burst_at_one_node_is_accepted_and_the_rest_refused_at_once() -> None:
+    # A node's even part of the rate refused most of a burst while the other parts lay idle.
+    replies = _submit_all(_Throttled(busy=0), 25)
+    assert [reply.status for reply in replies] == [201] * 20 + [503] * 5
+    assert all(reply.retry_after_s == 1 for reply in replies if reply.status == 503)
+
+
+def test_a_submission_above_the_rate_is_sent_again_but_not_held() -> None:
+    assert [reply.status for reply in _submit_all(_Throttled(busy=2), 1)] == [201]
+    (reply,) = _submit_all(_Throttled(busy=99), 1)
+    assert (reply.status, reply.retry_after_s) == (503, 1)
