--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -39,7 +39,7 @@
 _EXPECTED_FOR_S: Final = 45.0
 """A class of which nothing was submitted for so long is not expected any more."""
 _DEAR_IDLE_S: Final = 8.0
-_SURELY: Final = 0.4
+_LIKELY: Final = 0.7
 _MINIMUM_S: Final = 58.0
 _SILENT_RETURN_S: Final = 45.0
 
@@ -90,6 +90,7 @@
             [self._job(j, now, wall) for j in self._book.jobs.values() if self._waits(j, now)],
             self._teams(),
             self._expected(now),
+            self._book.rank_cpus,
         )
 
     def _expected(self, now: Steady) -> Expected | None:
@@ -181,7 +182,6 @@
         spec = job.spec
         waited_s = max(0.0, wall - job.submitted)
         run_s = self._run_s(spec)
-        missed, slack_s = self._slack(spec, waited_s, run_s)
         return JobView(
             job.id,
             spec.team,
@@ -192,8 +192,7 @@
             max(0, job.waiting - len(job.held)),
             spec.tasks,
             waited_s,
-            missed,
-            slack_s,
+            self._latest(spec, waited_s, run_s),
             run_s,
             spec.image,
             spec.image_gb,
@@ -206,14 +205,14 @@
             spec.is_gang,
         )
 
-    def _slack(self, spec: wire.JobSpec, waited_s: float, run_s: float) -> tuple[int, float | None]:
-        """How many deadlines the job misses if started now, and the slack to the next one."""
+    def _latest(self, spec: wire.JobSpec, waited_s: float, run_s: float) -> tuple[float, ...]:
+        """Per deadline, the time left until the job's tasks must have started."""
         if spec.deadline_s is None:
-            return 0, None
-        deadlines = [spec.deadline_s * times for times in self._times.get(spec.job_class, [1.0])]
-        # Estimates are often wrong by half: a deadline is given up only when it is surely missed.
-        missed = sum(waited_s + _SURELY * run_s > deadline for deadline in deadlines)
-        return missed, deadlines[min(missed, len(deadlines) - 1)] - waited_s - run_s
+            return ()
+        times = self._times.get(spec.job_class, [1.0])
+        # Estimates are often wrong by half: a deadline isn't given up for the last part of one.
+        run_s *= _LIKELY
+        return tuple(spec.deadline_s * t - waited_s - run_s for t in times)
 
     def _teams(self) -> dict[str, TeamView]:
         return {
@@ -304,8 +303,7 @@
             waiting=missing,
             tasks=missing,
             waited_s=0.0,
-            missed=0,
-            slack_s=None,
+            latest_s=(),
             estimate_s=1.0,
             image="",
             image_gb=0.0,
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -1,8 +1,7 @@
 """How large the fleet should be. The paper has a fixed machine; this part is ours.
 
 Tasks that found no room are laid onto machines that boot and onto room that running tasks will
-leave within about a boot time; what is left over is rented, cheapest per task first. Machines much
-dearer than the cheapest are rented only for tasks that could not meet their deadline otherwise.
+leave within about a boot time; what is left over is rented, cheapest per task first.
 """
 
 from __future__ import annotations
@@ -139,13 +138,6 @@
     return min(near, key=lambda o: (o.cpus, machines.get((o.type, o.zone), 0), o.type, o.zone))
 
 
-def _patience_s(job: JobView, policy: Policy) -> float:
-    """How long the job's tasks can wait before a dear machine is worth its price."""
-    if job.slack_s is not None:
-        return max(0.0, job.slack_s * policy.slack_spent)
-    return 0.0 if job.rank >= policy.urgent_rank else policy.patience_s
-
-
 def rentals(
     unplaced: list[tuple[JobView, int]],
     machines: list[MachineView],
@@ -156,9 +148,7 @@
 ) -> list[Rental]:
     """What to rent for the tasks that found no room; `machines` include those that boot.
 
-    Of the `catalogue`, only what is `available` was not refused a short while ago. An offer much
-    dearer than the cheapest in the catalogue is taken only for tasks that would otherwise start
-    too late for their deadline.
+    Of the `catalogue`, only what is `available` was not refused a short while ago.
     """
     sizes = {offer.type: offer for offer in catalogue}
     rooms = [_room(m, sizes[m.type], now) for m in machines if m.type in sizes]
@@ -174,8 +164,7 @@
         lowest = min(_price(job, waiting, o) for o in fitting)
         ready = [o for o in fitting if o in available]
         cheap = [o for o in ready if _price(job, waiting, o) <= policy.dear * lowest]
-        soon_s = min(o.boot_s for o in fitting)
-        wait_s = soon_s if cheap else max(soon_s, _patience_s(job, policy))
+        wait_s = min(o.boot_s for o in fitting)
         left = waiting
         for room in rooms:
             left -= room.lay(job, left, Steady(now + wait_s))
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -49,7 +49,9 @@
         )
 
     def run(self) -> Plan:
-        for job in order(self.view.jobs, self.view.teams, self.policy):
+        view = self.view
+        fleet_cpus = sum(m.size for m in view.machines)
+        for job in order(view.jobs, view.teams, self.policy, fleet_cpus, view.rank_cpus):
             allowed = self._allowed(job)
             placed = self._place(job, allowed)
             left = allowed - placed
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -1,15 +1,20 @@
 """The order of the queue.
 
 Urgency class first, raised by one for every `aging_s` of waiting without bound, so that nothing
-starves and a task that is stopped again and again becomes the head in time. Within a level (ours;
-the paper has no deadlines) jobs that can still meet their deadline go before those that can't, and
-among them the least slack first. Under overload the order by slack alone makes every job late by a
-little: the room goes to jobs for which it comes too late.
+starves and a task that is stopped again and again becomes the head in time.
+
+Within a level (ours; the paper has no deadlines) the jobs that the fleet can bring in by their
+deadline go first, the earliest latest start before the others. When it can't bring in all of them,
+the jobs with the most work left are passed over until the rest fits (Moore and Hodgson's rule,
+which leaves the fewest jobs late). By slack alone an overload makes every job a little late: the
+room goes to jobs for which it comes too late.
 """
 
 from __future__ import annotations
 
+import heapq
 import math
+from collections.abc import Iterable
 
 from tealrill.scheduler.model import JobView, Policy, TeamView
 
@@ -18,13 +23,70 @@
     return job.rank + math.floor(max(0.0, job.waited_s) / policy.aging_s)
 
 
-def order(jobs: list[JobView], teams: dict[str, TeamView], policy: Policy) -> list[JobView]:
-    """Jobs within their team's guarantee first, then by level, slack and waiting."""
+def order(
+    jobs: list[JobView],
+    teams: dict[str, TeamView],
+    policy: Policy,
+    fleet_cpus: float = math.inf,
+    rank_cpus: dict[int, float] | None = None,
+) -> list[JobView]:
+    """Jobs within their team's guarantee first, then by level, then by what can be in time.
+
+    `rank_cpus` are the processors that each class uses now: what higher classes hold is taken to
+    go on to the next of their kind.
+    """
+    levels: dict[int, list[JobView]] = {}
+    for job in jobs:
+        levels.setdefault(level(job, policy), []).append(job)
+    places: dict[JobView, tuple[int, int, float]] = {}
+    ahead = 0.0
+    for number in sorted(levels, reverse=True):
+        held = sum(cpus for rank, cpus in (rank_cpus or {}).items() if rank > number)
+        cpus = max(fleet_cpus - held, 0.05 * fleet_cpus, 1e-6)
+        places.update(_level_order(levels[number], -number, cpus, ahead))
+        ahead += sum(_work(job) for job in levels[number])
 
-    def key(job: JobView) -> tuple[int, int, int, float, float, str]:
+    def key(job: JobView) -> tuple[int, tuple[int, int, float], float, str]:
         team = teams.get(job.team)
         within = team is not None and team.guaranteed(job)
-        slack = job.slack_s if job.slack_s is not None else math.inf
-        return (0 if within else 1, -level(job, policy), job.missed, slack, -job.waited_s, job.id)
+        return (0 if within else 1, places[job], -job.waited_s, job.id)
 
     return sorted(jobs, key=key)
+
+
+def _work(job: JobView) -> float:
+    """Processor seconds that the job's waiting tasks will take."""
+    return job.waiting * max(job.cpus, 1e-3) * max(job.estimate_s, 1.0)
+
+
+def _level_order(
+    jobs: list[JobView], number: int, cpus: float, ahead: float
+) -> dict[JobView, tuple[int, int, float]]:
+    """Per job the level, the deadline that it can be in time for, and its latest start."""
+    places: dict[JobView, tuple[int, int, float]] = {}
+    left = set(jobs)
+    for deadline in range(max((len(job.latest_s) for job in jobs), default=0)):
+        chosen = _in_time((j for j in left if _possible(j, deadline)), deadline, cpus, ahead)
+        for job in chosen:
+            places[job] = (number, deadline, job.latest_s[deadline])
+            ahead += _work(job)
+        left -= chosen
+    for job in left:
+        late = len(job.latest_s) if job.latest_s else 0
+        places[job] = (number, late, math.inf)
+    return places
+
+
+def _possible(job: JobView, deadline: int) -> bool:
+    return deadline < len(job.latest_s) and job.latest_s[deadline] >= 0
+
+
+def _in_time(jobs: Iterable[JobView], deadline: int, cpus: float, ahead: float) -> set[JobView]:
+    """The jobs whose last task starts in time if the fleet works through them one by one."""
+    largest: list[tuple[float, str, JobView]] = []
+    for job in sorted(jobs, key=lambda j: (j.latest_s[deadline], j.id)):
+        heapq.heappush(largest, (-_work(job), job.id, job))
+        ahead += _work(job)
+        if ahead > cpus * job.latest_s[deadline]:
+            ahead += heapq.heappop(largest)[0]
+    return {job for _, _, job in largest}
--- a/tealrill/state/book.py
+++ b/tealrill/state/book.py
@@ -170,6 +170,7 @@
         self.jobs: dict[JobId, Job] = {}
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
+        self.rank_cpus: dict[int, float] = {}
         self.urgent: dict[Chunk, None] = {}
         self.lazy: dict[Chunk, None] = {}
         self.ending: dict[JobId, Job] = {}
@@ -189,6 +190,7 @@
             part.clear()
         self.team_cpus.clear()
         self.team_gpus.clear()
+        self.rank_cpus.clear()
 
     # -- bindings ---------------------------------------------------------------------------
 
@@ -247,6 +249,8 @@
         team = job.spec.team
         self.team_cpus[team] = self.team_cpus.get(team, 0.0) + job.spec.cpus
         self.team_gpus[team] = self.team_gpus.get(team, 0.0) + job.spec.gpus
+        rank = job.spec.rank
+        self.rank_cpus[rank] = self.rank_cpus.get(rank, 0.0) + job.spec.cpus
 
     def release(self, binding: Binding, zone: str, now: Steady, retry: bool = True) -> None:
         """Ends a binding. The caller has the proof that the task is gone from its machine."""
@@ -262,6 +266,7 @@
         team = job.spec.team
         self.team_cpus[team] -= job.spec.cpus
         self.team_gpus[team] -= job.spec.gpus
+        self.rank_cpus[job.spec.rank] -= job.spec.cpus
         chunk = binding.chunk
         chunk.version += 1
         if job.cancelled:
