--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -12,6 +12,7 @@
 from tealrill import wire
 from tealrill.api.admin import AdminStateHandler
 from tealrill.api.base import NotFound, no_access_log
+from tealrill.api.peers import TruceHandler
 from tealrill.api.users import CancelHandler, HealthHandler, JobHandler, JobsHandler
 from tealrill.api.workers import ReportHandler
 from tealrill.fleet.cloud import Cloud, CloudError
@@ -21,7 +22,8 @@
 from tealrill.state.client import StateClient
 from tealrill.state.election import Election
 from tealrill.state.intake import Intake
-from tealrill.types import JobId, MachineId, Steady, steady_now
+from tealrill.state.truce import PROMISE_S, TRUCE_PATH, Truce
+from tealrill.types import JobId, MachineId, Revision, Steady, steady_now
 
 log = logging.getLogger(__name__)
 
@@ -44,12 +46,17 @@
         self._cloud = Cloud(settings.services.cloud, params.cloud.rps, settings.nodes)
         self._estimates = Estimates()
         self._leader_changed = asyncio.Event()
-        self.election = Election(self._client, settings.host_name, self._leader_changed.set)
+        self.election = Election(
+            self._client, settings.host_name, self._leader_changed.set, PROMISE_S
+        )
         self.election.well_placed = self._well_placed
         self.leader: Leader | None = None
         self._catalogue: wire.Catalogue | None = None
         self.intake = Intake(self._client, settings, lambda: self._catalogue)
         self.intake.counts = self._counts
+        self._truce = Truce(settings, self._client, self.election, self.intake.cancelled_since)
+        self._truce.seen = lambda: self.leader.seen if self.leader is not None else Revision(0)
+        self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
 
     # -- running --------------------------------------------------------------------------------
@@ -58,6 +65,7 @@
         self._listen()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.election.run())
+            group.create_task(self._truce.run())
             group.create_task(self._terms())
             group.create_task(self._fetch_catalogue())
             group.create_task(self._check_hearing())
@@ -74,7 +82,10 @@
             (wire.HEALTH_PATH, HealthHandler, {"healthy": lambda: True}),
             (wire.REPORT_PATH, ReportHandler, {"take_report": self.take_report}),
         ]
-        operators: list[Any] = [(r"/admin/state", AdminStateHandler, {"node": self})]
+        operators: list[Any] = [
+            (r"/admin/state", AdminStateHandler, {"node": self}),
+            (TRUCE_PATH, TruceHandler, {"truce": self._truce}),
+        ]
         for rules, where in (
             (users, self._settings.client_listen),
             (operators, self._settings.cluster_listen),
@@ -181,6 +192,10 @@
             if heard >= 2 and now - last > self._silent_s and mine.valid(now):
                 await self.election.resign("no worker reports any more", _RESIGN_PAUSE_S)
 
+    def _cancelled_elsewhere(self, job: str) -> None:
+        if self.leader is not None:
+            self.leader.job_cancelled(job)
+
     # -- what is shown --------------------------------------------------------------------------
 
     def _counts(self, job_id: JobId) -> tuple[int, int] | None:
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -86,6 +86,8 @@
         self.keeper = Keeper(
             client, self.book, mine, params.state.txn_ops, self._committed, self._job_over
         )
+        self.seen = Revision(0)
+        """Changes of jobs are known up to this revision."""
         self._wake = asyncio.Event()
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
         self._addresses: dict[str, Client] = {}
@@ -194,6 +196,7 @@
 
     async def _watch_jobs(self, revision: Revision) -> None:
         while True:
+            self.seen = revision
             try:
                 result = await self._client.watch(JOB_PREFIX, revision, _WATCH_S)
                 if result is None:
@@ -223,6 +226,10 @@
         self.wake()
         return revision
 
+    def job_cancelled(self, name: str) -> None:
+        """Another node says that it has acknowledged a cancellation."""
+        self._job_deleted(name)
+
     def _job_deleted(self, name: str) -> None:
         job = self.book.jobs.get(JobId(name))
         # A job that is being ended here is deleted by this leader itself; if its user was faster,
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -18,7 +18,7 @@
 from typing import Final
 
 from tealrill import wire
-from tealrill.state.client import Committed, Rejected, StateClient, StateError, Unknown
+from tealrill.state.client import Committed, Refused, Rejected, StateClient, StateError, Unknown
 from tealrill.types import ABSENT, LeaseId, Revision, Steady, Token, steady_now
 
 log = logging.getLogger(__name__)
@@ -43,6 +43,8 @@
     lease: LeaseId
     elected_at: Steady
     valid_until: Steady
+    troubled: bool = False
+    """Its last renewal failed."""
 
     def valid(self, now: Steady) -> bool:
         return now < self.valid_until
@@ -61,9 +63,20 @@
 class Election:
     """Stands for election whenever there is no leader, and keeps what it has won."""
 
-    def __init__(self, client: StateClient, host: str, changed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        client: StateClient,
+        host: str,
+        changed: Callable[[], None],
+        promised_s: float = 0.0,
+    ) -> None:
         self._client = client
         self._host = host
+        # A promise of this host's former process (`state.truce`) is not known to this one.
+        self._promised_until = Steady(steady_now() + promised_s)
+        self._standing: Token | None = None
+        """An election of this node that is under way, or that brought no answer: it may take place
+        at any later time."""
         self._incarnation = secrets.token_hex(8)
         self._changed = changed
         self._not_before = Steady(0.0)
@@ -77,6 +90,18 @@
         mine = self.mine
         return mine if mine is not None and mine.valid(now) else None
 
+    def promise(self, term: Token, until: Steady) -> str:
+        """Not to stand before `until`; or why that can't be promised."""
+        if self.mine is not None:
+            return "leads itself"
+        if self.known is not None and self.known.term > term:
+            return f"knows of term {self.known.term}"
+        if self._standing is not None and self._standing > term:
+            # Its transaction may be executed late, after the leader's key has gone.
+            return f"stands for term {self._standing}"
+        self._promised_until = Steady(max(self._promised_until, until))
+        return ""
+
     async def run(self) -> None:
         while True:
             try:
@@ -112,6 +137,7 @@
             alive = await self._client.extend_lease(mine.lease, timeout_s=1.0)
         except StateError as error:
             log.debug("term %d: renewal failed: %s", mine.term, error)
+            mine.troubled = True
             await asyncio.sleep(0.15)
             return
         if self.mine is not mine:
@@ -122,7 +148,8 @@
         was_valid = mine.valid(steady_now())
         # A lease that answers has never ended, so the key attached to it has stood all the time
         # and nobody else can have led: a term that went silent in an outage may go on.
-        mine.valid_until = _validity(sent)
+        mine.valid_until = max(mine.valid_until, _validity(sent))
+        mine.troubled = False
         if not was_valid:
             log.info("term %d: valid again after a silence", mine.term)
             self._changed()
@@ -172,11 +199,19 @@
             wire.guard(TERM_KEY, last.version if last is not None else ABSENT),
         ]
         changes = [wire.put(LEADER_KEY, value, lease), wire.put(TERM_KEY, term)]
+        if stamp == ABSENT and last is not None and steady_now() < self._promised_until:
+            # Looked at last of all: a promise may have been given while the above was awaited. A
+            # key that this host's former process left is no other leader's, and a service without
+            # a term has had no leader who could hold a promise.
+            await asyncio.sleep(0.05)
+            return
+        self._standing = term
         try:
             result = await self._client.commit(guards, changes)
             revision = result.revision if isinstance(result, Committed) else None
-        except Rejected:
-            revision = None
+            self._standing = None
+        except (Rejected, Refused):
+            revision = self._standing = None
         except Unknown:
             revision = await self._read_back(term)
         if revision is None:
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -29,11 +29,12 @@
     StateError,
     Unknown,
 )
-from tealrill.types import ABSENT, JobId, parse_job_id, wall_now
+from tealrill.types import ABSENT, JobId, Revision, parse_job_id, wall_now
 
 log = logging.getLogger(__name__)
 
 _REMEMBERED: Final = 20_000
+_CANCELLED_KEPT: Final = 500
 _ACCEPT_PAUSES_S: Final = (0.03, 0.06)
 """Pauses before an acceptance that the state service called too much (429) is sent again."""
 _TRIES: Final = 4
@@ -69,6 +70,7 @@
         self._value_bytes = int(settings.params.state.value_kb * 1024)
         self._catalogue = catalogue
         self._over: OrderedDict[JobId, wire.KeyValue] = OrderedDict()
+        self._cancelled: OrderedDict[JobId, Revision] = OrderedDict()
         self.counts: Callable[[JobId], tuple[int, int] | None] = lambda _: None
         """Done and running tasks as the leader's memory has them; None elsewhere."""
 
@@ -236,6 +238,8 @@
             over = await self._read_over(job_id)
             if over is None:
                 return _NOT_FOUND
+            if over.value["status"] == wire.JOB_CANCELLED:
+                self._acknowledge(job_id, Revision(over.version))
             return Reply(200, wire.accepted(job_id, over.value["status"]))
         # The description stays: a new leader needs it until the job's tasks are gone.
         record = {"status": wire.JOB_CANCELLED, "spec": entry.value["spec"]}
@@ -253,8 +257,19 @@
         if isinstance(result, Failed):
             return None
         log.info("job %s cancelled", job_id)
+        self._acknowledge(job_id, result.revision)
         return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
 
+    def _acknowledge(self, job_id: JobId, revision: Revision) -> None:
+        """From here on the user may be told; see `cancelled_since`."""
+        self._cancelled[job_id] = revision
+        while len(self._cancelled) > _CANCELLED_KEPT:
+            self._cancelled.popitem(last=False)
+
+    def cancelled_since(self, revision: Revision) -> list[JobId]:
+        """Cancellations acknowledged here that a leader who has seen `revision` may not know."""
+        return [job for job, at in self._cancelled.items() if at > revision]
+
 
 def _id_in(body: bytes) -> JobId | None:
     """The job id in a body that may be malformed otherwise."""
--- /dev/null
+++ b/tealrill/state/truce.py
@@ -0,0 +1,161 @@
+"""Going on through an outage of the state service.
+
+A leader that can't renew its lease falls silent, and an outage longer than the workers' lease then
+ends every task. It may go on if every other member has promised, for a short time, not to stand
+for election: then nobody can be elected, whatever the lease does. docs/design.md has the argument.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import msgspec
+
+from tealrill import wire
+from tealrill.http import Client, NoAnswer
+from tealrill.settings import Settings, parse_address
+from tealrill.state.client import StateClient, StateError
+from tealrill.state.election import Leadership
+from tealrill.types import JobId, Revision, Steady, Token, steady_now
+
+log = logging.getLogger(__name__)
+
+PROMISE_S: Final = 4.0
+"""How long a promise holds on the clock of the member that gives it."""
+TRUCE_PATH: Final = "/peer/truce"
+_DRIFT: Final = 0.999
+_MARGIN_S: Final = 0.2
+_ASK_EVERY_S: Final = 0.7
+_ASK_TIMEOUT_S: Final = 0.6
+_PROBE_S: Final = 0.3
+_CANCEL_SPARE_S: Final = 5.0
+
+
+class Request(msgspec.Struct, frozen=True):
+    term: int
+    seen: int = 0
+    """The revision up to which the leader has seen changes of jobs."""
+
+
+class Answer(msgspec.Struct, frozen=True):
+    promised: bool
+    why: str = ""
+    cancelled: list[str] = []
+    """Jobs whose cancellation was acknowledged here after the revision that the leader has seen."""
+
+
+class Standing(Protocol):
+    """The part of an election that promises concern."""
+
+    mine: Leadership | None
+
+    def promise(self, term: Token, until: Steady) -> str:
+        """Empty if this node will not stand before `until`; else why it can't promise that."""
+
+
+class Truce:
+    """Asks for promises while this node leads, and gives them while another does."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: StateClient,
+        election: Standing,
+        cancelled_since: Callable[[Revision], list[JobId]] = lambda _: [],
+        now: Callable[[], Steady] = steady_now,
+    ) -> None:
+        self._client = client
+        self._election = election
+        self._cancelled_since = cancelled_since
+        self._now = now
+        self.seen: Callable[[], Revision] = lambda: Revision(0)
+        """The revision up to which this node, when it leads, knows of cancellations."""
+        self.cancelled: Callable[[str], None] = lambda _: None
+        """Tells this node's leader of a cancellation that another node has acknowledged."""
+        self._peers = {
+            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
+        }
+        workers = settings.params.workers
+        # A cancellation can be acknowledged right after a promise was given. The leader may then
+        # go on for as long as the promise holds, and the worker for a lease longer.
+        self.possible = PROMISE_S + workers.lease_s + _CANCEL_SPARE_S <= workers.cancel_s
+        self._in_truce = False
+
+    # -- the leader's side ----------------------------------------------------------------------
+
+    async def run(self) -> None:
+        while True:
+            mine = self._election.mine
+            if mine is not None and mine.troubled and self.possible:
+                await self._seek(mine)
+            else:
+                self._in_truce = False
+            await asyncio.sleep(_ASK_EVERY_S)
+
+    async def _seek(self, mine: Leadership) -> None:
+        sent = self._now()
+        if not mine.valid(sent):
+            return
+        request = Request(mine.term, self.seen())
+        answers = await asyncio.gather(*(self._ask(c, request) for c in self._peers.values()))
+        for answer in answers:
+            for job in answer.cancelled:
+                self.cancelled(job)
+        refused = [
+            f"{name}: {a.why}"
+            for name, a in zip(self._peers, answers, strict=True)
+            if not a.promised
+        ]
+        if refused:
+            log.info("term %d: no truce: %s", mine.term, "; ".join(refused))
+            return
+        if not self._in_truce:
+            log.info(
+                "term %d: goes on without the state service, by all others' promise", mine.term
+            )
+            self._in_truce = True
+        self.extend(mine, sent)
+
+    def extend(self, mine: Leadership, sent: Steady) -> None:
+        """All others have promised, after `sent`.
+
+        Only a term that was valid all the time is prolonged. After a gap somebody else may have
+        been elected, and promises given afterwards would not undo that.
+        """
+        if mine.valid(self._now()):
+            until = Steady(sent + PROMISE_S * _DRIFT - _MARGIN_S)
+            mine.valid_until = max(mine.valid_until, until)
+
+    async def _ask(self, client: Client, request: Request) -> Answer:
+        try:
+            body = wire.encode(request)
+            answer = await client.request("POST", TRUCE_PATH, body, _ASK_TIMEOUT_S)
+            return wire.decode(answer.body, Answer)
+        except (NoAnswer, wire.Malformed) as error:
+            return Answer(False, str(error))
+
+    # -- the others' side -----------------------------------------------------------------------
+
+    async def asked(self, request: Request) -> Answer:
+        """A promise is given only by a member that can't reach the state service either.
+
+        Were it reachable from here, the leader alone would be cut off, and another leader serves
+        better. With the promise goes what the leader may not have heard: cancellations that were
+        acknowledged here, which it would otherwise let run on.
+        """
+        if await self._state_answers():
+            return Answer(False, "the state service answers here")
+        why = self._election.promise(Token(request.term), Steady(self._now() + PROMISE_S))
+        cancelled = self._cancelled_since(Revision(request.seen))
+        return Answer(not why, why, [str(job) for job in cancelled])
+
+    async def _state_answers(self) -> bool:
+        try:
+            async with asyncio.timeout(_PROBE_S):
+                await self._client.get("leader")
+        except (StateError, TimeoutError):
+            return False
+        return True
--- /dev/null
+++ b/tests/test_truce.py
@@ -0,0 +1,177 @@
+"""Promises not to stand for election: each clause of the argument in docs/design.md."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import orjson
+import pytest
+
+from tealrill import settings, wire
+from tealrill.state import election as election_module
+from tealrill.state.client import Committed, Failed, Refused, StateClient, Unknown
+from tealrill.state.election import LEADER_KEY, TERM_KEY, Election, KnownLeader, Leadership
+from tealrill.state.truce import PROMISE_S, Answer, Request, Truce
+from tealrill.types import JobId, LeaseId, Revision, Steady, Token
+from tests.samples import SETTINGS
+
+
+class _State:
+    """As much of the state service as an election uses."""
+
+    def __init__(self, term: int | None = 4, outcome: str = "ok") -> None:
+        self.keys: dict[str, tuple[Any, int]] = {} if term is None else {TERM_KEY: (term, 9)}
+        self.outcome = outcome
+        self.down = False
+        self.commits = 0
+
+    async def get(self, key: str) -> wire.KeyValue | None:
+        if self.down:
+            raise Refused("status 503")
+        entry = self.keys.get(key)
+        return None if entry is None else wire.KeyValue(value=entry[0], version=entry[1])
+
+    async def create_lease(self, ttl_s: float) -> LeaseId:
+        return LeaseId(1)
+
+    async def end_lease(self, lease: LeaseId) -> None: ...
+
+    def set_leading(self, leads: bool) -> None: ...
+
+    async def commit(self, guards: Any, changes: Any) -> Committed | Failed:
+        self.commits += 1
+        if self.outcome == "unknown":
+            raise Unknown("no answer")
+        if self.outcome == "refused":
+            raise Refused("status 503")
+        return Committed(Revision(10)) if self.outcome == "ok" else Failed([TERM_KEY])
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = Steady(100.0)
+
+    def __call__(self) -> Steady:
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> _Clock:
+    clock = _Clock()
+    monkeypatch.setattr(election_module, "steady_now", clock)
+    return clock
+
+
+def _election(state: _State, promised_s: float = 0.0) -> Election:
+    return Election(cast(StateClient, state), "host-0", lambda: None, promised_s)
+
+
+def _stand(election: Election, stamp: int = 0) -> bool:
+    asyncio.run(election._stand(Revision(stamp)))
+    return election.mine is not None
+
+
+def test_who_has_promised_does_not_stand_before_the_promise_is_over(clock: _Clock) -> None:
+    election = _election(_State())
+    assert election.promise(Token(4), Steady(clock.now + PROMISE_S)) == ""
+    assert not _stand(election)
+    clock.now = Steady(clock.now + PROMISE_S)
+    assert _stand(election)
+
+
+def test_a_restarted_member_may_have_promised(clock: _Clock) -> None:
+    assert not _stand(_election(_State(), PROMISE_S))
+    # Before the first term nobody can hold a promise, and nothing is to be waited for.
+    assert _stand(_election(_State(term=None), PROMISE_S))
+    # The key of this host's own former process belongs to nobody who could hold one.
+    assert _stand(_election(_State(), PROMISE_S), stamp=7)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "promised"), [("unknown", False), ("refused", True), ("failed", True)]
+)
+def test_an_election_without_an_answer_may_take_place_late(
+    clock: _Clock, outcome: str, promised: bool
+) -> None:
+    election = _election(_State(outcome=outcome))
+    assert not _stand(election)
+    assert (election.promise(Token(4), Steady(200.0)) == "") is promised
+    # The guard on the term makes the late one fail once a later term is there.
+    assert election.promise(Token(5), Steady(200.0)) == ""
+
+
+def test_no_promise_to_a_leader_of_the_past(clock: _Clock) -> None:
+    election = _election(_State())
+    election.known = KnownLeader("host-1", Token(5))
+    assert election.promise(Token(4), Steady(200.0)) != ""
+    election.known = None
+    assert _stand(election)
+    assert election.promise(Token(9), Steady(200.0)) == "leads itself"
+
+
+def _truce(state: _State, election: Election, clock: _Clock, **changes: Any) -> Truce:
+    values = {**SETTINGS, **changes}
+    parsed = settings.parse(orjson.dumps(values))
+
+    def cancelled_since(revision: Revision) -> list[JobId]:
+        return [JobId("wk-1")] if revision < 50 else []
+
+    return Truce(parsed, cast(StateClient, state), election, cancelled_since, clock)
+
+
+def test_only_a_term_without_a_gap_is_prolonged(clock: _Clock) -> None:
+    truce = _truce(_State(), _election(_State()), clock)
+    mine = Leadership(Token(4), Revision(1), LeaseId(1), Steady(90.0), Steady(101.0))
+    sent = clock.now
+    clock.now = Steady(100.5)
+    truce.extend(mine, sent)
+    assert 103.0 < mine.valid_until < sent + PROMISE_S
+    clock.now = Steady(110.0)
+    truce.extend(mine, Steady(109.9))
+    assert not mine.valid(clock.now)
+
+
+def test_a_member_that_reaches_the_state_service_promises_nothing(clock: _Clock) -> None:
+    state = _State()
+    state.keys[LEADER_KEY] = ({"host": "host-1"}, 8)
+    election = _election(state)
+    truce = _truce(state, election, clock)
+    assert not asyncio.run(truce.asked(Request(4))).promised
+    state.down = True
+    assert asyncio.run(truce.asked(Request(4, seen=60))) == Answer(True)
+    # What was cancelled here without the leader's knowledge goes with the promise.
+    assert asyncio.run(truce.asked(Request(4, seen=40))) == Answer(True, cancelled=["wk-1"])
+    state.down = False
+    assert not _stand(election)
+
+
+def test_one_missing_promise_is_silence(clock: _Clock, monkeypatch: pytest.MonkeyPatch) -> None:
+    election = _election(_State())
+    members = [{"host_name": f"n-{n}", "zone": "north", "peer_addr": "x:1"} for n in range(2)]
+    truce = _truce(_State(), election, clock, members=members)
+    told: list[str] = []
+    truce.cancelled = told.append
+
+    def prolonged(last: Answer) -> bool:
+        left = iter([Answer(True, cancelled=["wk-2"]), last])
+
+        async def ask(*_: object) -> Answer:
+            return next(left)
+
+        monkeypatch.setattr(truce, "_ask", ask)
+        mine = Leadership(Token(4), Revision(1), LeaseId(1), Steady(90.0), Steady(101.0))
+        asyncio.run(truce._seek(mine))
+        return mine.valid_until > 101.0
+
+    assert prolonged(Answer(True))
+    assert not prolonged(Answer(False, "no answer"))
+    assert set(told) == {"wk-2"}
+
+
+def test_no_truce_where_a_cancellation_would_come_too_late(clock: _Clock) -> None:
+    workers = SETTINGS["params"]["workers"]
+    short = {**workers, "cancel_s": workers["lease_s"] + PROMISE_S}
+    params = {**SETTINGS["params"], "workers": short}
+    assert not _truce(_State(), _election(_State()), clock, params=params).possible
+    assert _truce(_State(), _election(_State()), clock).possible
