--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -91,6 +91,7 @@
             self._teams(),
             self._expected(now),
             self._book.rank_cpus,
+            sum(m.size for m in self._under_way(now) if not self._is_dear(m.type, m.spot)),
         )
 
     def _expected(self, now: Steady) -> Expected | None:
@@ -273,7 +274,9 @@
             return
         machines = view.machines + self._under_way(now)
         available = self._renter.available(now)
-        wanted = capacity.rentals(result.unplaced, machines, offers, available, now, self.policy)
+        wanted = capacity.rentals(
+            result.unplaced, machines, offers, available, now, self.policy, result.affordable
+        )
         if not wanted:
             missing = self._missing_for_expected(view, machines)
             cheap = [o for o in available if not self._is_dear(o.type, o.spot)]
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass
 from typing import Final
 
@@ -145,10 +146,12 @@
     available: list[Offer],
     now: Steady,
     policy: Policy,
+    affordable: Container[JobView] = (),
 ) -> list[Rental]:
     """What to rent for the tasks that found no room; `machines` include those that boot.
 
-    Of the `catalogue`, only what is `available` was not refused a short while ago.
+    Of the `catalogue`, only what is `available` was not refused a short while ago. Machines much
+    dearer than the cheapest are rented only for jobs that are not `affordable` without them.
     """
     sizes = {offer.type: offer for offer in catalogue}
     rooms = [_room(m, sizes[m.type], now) for m in machines if m.type in sizes]
@@ -165,9 +168,14 @@
         ready = [o for o in fitting if o in available]
         cheap = [o for o in ready if _price(job, waiting, o) <= policy.dear * lowest]
         wait_s = min(o.boot_s for o in fitting)
+        if not cheap and job.latest_s:
+            # Only dear machines are to be had: room that comes by the latest start will do.
+            wait_s = max(wait_s, job.latest_s[0] - 0.5 * job.estimate_s)
         left = waiting
         for room in rooms:
             left -= room.lay(job, left, Steady(now + wait_s))
+        if not cheap and job in affordable:
+            continue
         while left > 0:
             offer = _choose(job, left, cheap or ready, counts)
             if offer is None:
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -154,6 +154,8 @@
     expected: Expected | None = None
     rank_cpus: dict[int, float] = field(default_factory=dict)
     """Processors that each urgency class uses."""
+    cheap_coming: float = 0.0
+    """Processors of cheap machines that were asked for and not yet granted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +180,8 @@
     """For how many of the head job's tasks room is reserved."""
     dear: float = 1.5
     """A machine that costs this much more per task than the cheapest kind is dear."""
+    cheap_share: float = 0.85
+    """The part of the cheap machines that is counted on when jobs are kept off the dear ones."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,3 +215,5 @@
     reservations: dict[MachineId, Reservation] = field(default_factory=dict)
     unplaced: list[tuple[JobView, int]] = field(default_factory=list)
     """Tasks that found no room, in the queue's order, for the size of the fleet."""
+    affordable: set[JobView] = field(default_factory=set)
+    """Jobs that the cheap machines bring in by their deadline."""
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -21,7 +21,7 @@
     StopTask,
     View,
 )
-from tealrill.scheduler.queue import order
+from tealrill.scheduler.queue import affordable, order
 from tealrill.scheduler.reservation import Window, reserve, slots
 from tealrill.types import Steady
 
@@ -51,6 +51,8 @@
     def run(self) -> Plan:
         view = self.view
         fleet_cpus = sum(m.size for m in view.machines)
+        cheap_cpus = sum(m.size for m in view.machines if not m.dear) + view.cheap_coming
+        self.plan.affordable = affordable(view.jobs, self.policy, cheap_cpus, view.rank_cpus)
         for job in order(view.jobs, view.teams, self.policy, fleet_cpus, view.rank_cpus):
             allowed = self._allowed(job)
             placed = self._place(job, allowed)
@@ -99,12 +101,18 @@
         Small tasks spread over large machines would leave no room in one piece for large tasks,
         and only full machines let others become empty and go back.
         """
-        fitting = [m for m in self.up if m.fits(job) and m.allows(job)]
+        fitting = [m for m in self._usable(job, self.up) if m.fits(job) and m.allows(job)]
         if job.one_zone and not any(job.zone_counts.values()):
             fitting = self._best_zone(fitting)
         fitting.sort(key=lambda m: (m.dear, m.size, job.image not in m.images, m.cpus, m.id))
         return fitting
 
+    def _usable(self, job: JobView, machines: list[MachineView]) -> list[MachineView]:
+        """Dear machines are left to jobs that the cheap ones don't bring in by their deadline."""
+        if job not in self.plan.affordable:
+            return machines
+        return [m for m in machines if not m.dear]
+
     @staticmethod
     def _best_zone(machines: list[MachineView]) -> list[MachineView]:
         """For a job that must stay in one zone: the machines of the zone with the most room."""
@@ -168,7 +176,7 @@
         self.head = job
         self.plan.head = job.id
         most = min(left, self.policy.reserved_tasks)
-        self.windows = reserve(job, self.view.machines, self.now, most)
+        self.windows = reserve(job, self._usable(job, self.view.machines), self.now, most)
         for machine, window in self.windows.items():
             self.plan.reservations[machine.id] = Reservation(machine.id, window.at, window.tasks)
 
@@ -182,8 +190,9 @@
         backfilled = sum(t.backfilled for m in self.up for t in m.running)
         budget = max(1, math.ceil(backfilled * self.policy.stop_share))
         taken: set[RunningTask] = set()
+        machines = self._usable(head, self.up)
         while wanted > 0:
-            victims = preemption.choose(head, self.up, self.view.teams, taken, guaranteed)
+            victims = preemption.choose(head, machines, self.view.teams, taken, guaranteed)
             if victims is None or len(taken) + len(victims.tasks) > max(budget, len(victims.tasks)):
                 return
             taken.update(victims.tasks)
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -14,7 +14,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from tealrill.scheduler.model import JobView, Policy, TeamView
 
@@ -54,6 +54,34 @@
     return sorted(jobs, key=key)
 
 
+def affordable(
+    jobs: list[JobView], policy: Policy, cheap_cpus: float, rank_cpus: dict[int, float]
+) -> set[JobView]:
+    """The jobs that the cheap part of the fleet brings in by their first deadline by itself.
+
+    They need no dear machine. A run longer than its estimate is allowed for, and a part of the
+    cheap fleet is left out, because rooms do not fit together without a rest.
+    """
+    found: set[JobView] = set()
+    ahead = 0.0
+    levels: dict[int, list[JobView]] = {}
+    for job in jobs:
+        levels.setdefault(level(job, policy), []).append(job)
+    for number in sorted(levels, reverse=True):
+        held = sum(cpus for rank, cpus in rank_cpus.items() if rank > number)
+        cpus = policy.cheap_share * cheap_cpus - held
+        if cpus <= 0:
+            break
+        due = [j for j in levels[number] if j.latest_s and j.latest_s[0] > _spare_s(j)]
+        found |= _in_time(due, 0, cpus, ahead, _spare_s)
+        ahead += sum(_work(job) for job in levels[number])
+    return found
+
+
+def _spare_s(job: JobView) -> float:
+    return 0.5 * job.estimate_s
+
+
 def _work(job: JobView) -> float:
     """Processor seconds that the job's waiting tasks will take."""
     return job.waiting * max(job.cpus, 1e-3) * max(job.estimate_s, 1.0)
@@ -81,12 +109,18 @@
     return deadline < len(job.latest_s) and job.latest_s[deadline] >= 0
 
 
-def _in_time(jobs: Iterable[JobView], deadline: int, cpus: float, ahead: float) -> set[JobView]:
+def _in_time(
+    jobs: Iterable[JobView],
+    deadline: int,
+    cpus: float,
+    ahead: float,
+    spare_s: Callable[[JobView], float] = lambda _: 0.0,
+) -> set[JobView]:
     """The jobs whose last task starts in time if the fleet works through them one by one."""
     largest: list[tuple[float, str, JobView]] = []
     for job in sorted(jobs, key=lambda j: (j.latest_s[deadline], j.id)):
         heapq.heappush(largest, (-_work(job), job.id, job))
         ahead += _work(job)
-        if ahead > cpus * job.latest_s[deadline]:
+        if ahead > cpus * (job.latest_s[deadline] - spare_s(job)):
             ahead += heapq.heappop(largest)[0]
     return {job for _, _, job in largest}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -283,3 +283,25 @@
     assert count([machine_view("m-1", ready_at=soon)]) == [(True, 1)]
     leaving = [running_task(f"run-{i}", cpus=8.0, end_at=Steady(NOW + 5)) for i in range(2)]
     assert count([machine_view("m-1", cpus=0.0, running=leaving)]) == []
+
+
+def test_dear_machines_are_for_jobs_that_the_cheap_ones_do_not_bring_in() -> None:
+    # Jobs with time to spare once filled dear machines and had more of them rented.
+    busy = [running_task("run-1", cpus=8.0, end_at=Steady(NOW + 20))]
+    machines = [
+        machine_view("m-1", cpus=0.0, running=busy),
+        machine_view("m-2", dear=True),
+    ]
+
+    def placed(latest_s: float) -> tuple[int, list[tuple[bool, int]]]:
+        job = job_view("job-1", latest_s=(latest_s,), estimate_s=30.0, waiting=2, tasks=2)
+        ordinary = Offer("big", "north", False, 8.0, 0.0, 64.0, 2.0, 30.0, 1.0)
+        spot = Offer("big", "north", True, 8.0, 0.0, 64.0, 1.0, 30.0, 1.0)
+        result = plan(View(machines, [job], {}), NOW, Policy())
+        rented = rentals(
+            [(job, 2)], [], [ordinary, spot], [ordinary], NOW, Policy(), result.affordable
+        )
+        return len(result.starts), [(r.spot, r.count) for r in rented]
+
+    assert placed(latest_s=80.0) == (0, [])
+    assert placed(latest_s=30.0) == (2, [(False, 1)])
