--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -91,7 +91,7 @@
             self._teams(),
             self._expected(now),
             self._book.rank_cpus,
-            sum(m.size for m in self._under_way(now) if not self._is_dear(m.type, m.spot)),
+            self._cheap_coming(),
         )
 
     def _expected(self, now: Steady) -> Expected | None:
@@ -345,6 +345,15 @@
             found += [view] * rental.count
         return found
 
+    def _cheap_coming(self) -> dict[float, float]:
+        """Processors of cheap machines that were asked for, by the size of one."""
+        coming: dict[float, float] = {}
+        for rental in self._renter.under_way():
+            kind = self._renter.type_of(rental.type)
+            if kind is not None and not self._is_dear(rental.type, rental.spot):
+                coming[kind.cpus] = coming.get(kind.cpus, 0.0) + rental.count * kind.cpus
+        return coming
+
     def _drain_noticed(self, now: Steady) -> None:
         """On a machine with notice, what can save and won't end in time saves at once."""
         for machine in self._machines():
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -168,9 +168,9 @@
         ready = [o for o in fitting if o in available]
         cheap = [o for o in ready if _price(job, waiting, o) <= policy.dear * lowest]
         wait_s = min(o.boot_s for o in fitting)
-        if not cheap and job.latest_s:
+        if not cheap and job in affordable:
             # Only dear machines are to be had: room that comes by the latest start will do.
-            wait_s = max(wait_s, job.latest_s[0] - 0.5 * job.estimate_s)
+            wait_s = max(wait_s, job.latest_s[0])
         left = waiting
         for room in rooms:
             left -= room.lay(job, left, Steady(now + wait_s))
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -51,8 +51,11 @@
     def run(self) -> Plan:
         view = self.view
         fleet_cpus = sum(m.size for m in view.machines)
-        cheap_cpus = sum(m.size for m in view.machines if not m.dear) + view.cheap_coming
-        self.plan.affordable = affordable(view.jobs, self.policy, cheap_cpus, view.rank_cpus)
+        cheap = dict(view.cheap_coming)
+        for machine in view.machines:
+            if not machine.dear:
+                cheap[machine.size] = cheap.get(machine.size, 0.0) + machine.size
+        self.plan.affordable = affordable(view.jobs, self.policy, cheap, view.rank_cpus)
         for job in order(view.jobs, view.teams, self.policy, fleet_cpus, view.rank_cpus):
             allowed = self._allowed(job)
             placed = self._place(job, allowed)
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -55,13 +55,30 @@
 
 
 def affordable(
-    jobs: list[JobView], policy: Policy, cheap_cpus: float, rank_cpus: dict[int, float]
+    jobs: list[JobView], policy: Policy, cheap: dict[float, float], rank_cpus: dict[int, float]
 ) -> set[JobView]:
     """The jobs that the cheap part of the fleet brings in by their first deadline by itself.
 
-    They need no dear machine. A run longer than its estimate is allowed for, and a part of the
-    cheap fleet is left out, because rooms do not fit together without a rest.
+    They need no dear machine. `cheap` has the processors of all cheap machines by the size of one:
+    tasks that fit only large machines must find their room on those alone. A run longer than its
+    estimate is allowed for, and a part of the cheap fleet is left out, because rooms do not fit
+    together without a rest.
     """
+    sizes = sorted(cheap)
+    found = set(jobs)
+    for smallest in [0.0, *sizes[:-1]]:
+        # First all jobs on all machines, then those too large for the smaller ones on the rest.
+        larger = [job for job in jobs if job.cpus > smallest or not smallest]
+        if larger:
+            room = sum(cpus for size, cpus in cheap.items() if size > smallest)
+            among = _brought_in(larger, policy, room, rank_cpus if not smallest else {})
+            found -= set(larger) - among
+    return found
+
+
+def _brought_in(
+    jobs: list[JobView], policy: Policy, cheap_cpus: float, rank_cpus: dict[int, float]
+) -> set[JobView]:
     found: set[JobView] = set()
     ahead = 0.0
     levels: dict[int, list[JobView]] = {}
@@ -79,7 +96,7 @@
 
 
 def _spare_s(job: JobView) -> float:
-    return 0.5 * job.estimate_s
+    return 0.8 * job.estimate_s
 
 
 def _work(job: JobView) -> float:
