--- /dev/null
+++ b/tealrill/api/relay.py
@@ -0,0 +1,95 @@
+"""Users' requests on a node that can't reach the state service, while another one can.
+
+A cut between this node and the state service, or a refusal that reaches this node alone, looks to
+its users like an outage. Every node gives the same answers from the same records, so the request is
+handed to another node when the own attempt was refused or is slow. Both may succeed: each change is
+guarded by its key's version, so the second finds what the first has done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, Protocol
+
+from tealrill import wire
+from tealrill.http import Client, NoAnswer
+from tealrill.settings import Settings, parse_address
+from tealrill.state.intake import Reply
+
+log = logging.getLogger(__name__)
+
+PEER_PREFIX: Final = "/peer"
+_SLOW_S: Final = 0.1
+"""The state service answers within 10 ms as a rule; a second attempt elsewhere may be faster."""
+_SLOW_POLL_S: Final = 0.4
+_TIMEOUT_S: Final = 0.6
+
+
+class Users(Protocol):
+    """What users may ask of a node."""
+
+    async def submit(self, body: bytes) -> Reply: ...
+    async def status(self, text: str) -> Reply: ...
+    async def cancel(self, text: str) -> Reply: ...
+
+
+class Relay:
+    """Answers from here, or by way of another node."""
+
+    def __init__(self, local: Users, settings: Settings, failing: Callable[[], bool]) -> None:
+        self._local = local
+        self._failing = failing
+        self._peers = [Client(parse_address(m.peer_addr), most=2) for m in settings.members]
+
+    async def submit(self, body: bytes) -> Reply:
+        there = (wire.JOBS_PATH, "POST", body)
+        return await self._either(self._local.submit(body), there, _SLOW_S)
+
+    async def status(self, text: str) -> Reply:
+        there = (f"{wire.JOBS_PATH}/{text}", "GET", None)
+        return await self._either(self._local.status(text), there, _SLOW_POLL_S)
+
+    async def cancel(self, text: str) -> Reply:
+        there = (f"{wire.JOBS_PATH}/{text}/{wire.CANCEL_PATH}", "POST", b"")
+        return await self._either(self._local.cancel(text), there, _SLOW_POLL_S)
+
+    async def _either(
+        self,
+        local: Coroutine[Any, Any, Reply],
+        there: tuple[str, str, bytes | None],
+        slow_s: float,
+    ) -> Reply:
+        """The first answer that settles the request; if none does, that of this node."""
+        here = asyncio.create_task(local)
+        other: asyncio.Task[Reply | None] | None = None
+        try:
+            await asyncio.wait({here}, timeout=0.0 if self._failing() else slow_s)
+            if not self._peers or (here.done() and not here.result().elsewhere):
+                return await here
+            other = asyncio.create_task(self._ask(*there))
+            for first in asyncio.as_completed((here, other)):
+                reply = await first
+                if reply is not None and not reply.elsewhere:
+                    return reply
+            return await here
+        finally:
+            here.cancel()
+            if other is not None:
+                other.cancel()
+
+    async def _ask(self, path: str, method: str, body: bytes | None) -> Reply | None:
+        """Another node's answer; None if it brings nothing either."""
+        peer = self._peers[0]
+        try:
+            answer = await peer.request(method, PEER_PREFIX + path, body, _TIMEOUT_S)
+            reply = Reply(answer.status, wire.decode(answer.body, dict[str, Any]))
+        except (NoAnswer, wire.Malformed) as error:
+            log.debug("asking another node: %s", error)
+            reply = None
+        if reply is None or reply.status >= 500:
+            # The next request goes to the next node.
+            self._peers = [*self._peers[1:], peer]
+            return None
+        return reply
--- a/tealrill/api/users.py
+++ b/tealrill/api/users.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable
 
 from tealrill.api.base import JsonHandler
-from tealrill.state.intake import Intake, Reply
+from tealrill.api.relay import Users
+from tealrill.state.intake import Reply
 
 
 class _IntakeHandler(JsonHandler):
-    def initialize(self, intake: Intake) -> None:
+    def initialize(self, intake: Users) -> None:
         self._intake = intake
 
     def answer(self, reply: Reply) -> None:
--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -13,6 +13,7 @@
 from tealrill.api.admin import AdminStateHandler
 from tealrill.api.base import NotFound, no_access_log
 from tealrill.api.peers import TruceHandler
+from tealrill.api.relay import PEER_PREFIX, Relay, Users
 from tealrill.api.users import CancelHandler, HealthHandler, JobHandler, JobsHandler
 from tealrill.api.workers import ReportHandler
 from tealrill.fleet.cloud import Cloud, CloudError
@@ -71,20 +72,16 @@
             group.create_task(self._check_hearing())
 
     def _listen(self) -> None:
+        relay = Relay(self.intake, self._settings, lambda: self._client.failing)
         users: list[Any] = [
-            (wire.JOBS_PATH, JobsHandler, {"intake": self.intake}),
-            (wire.JOBS_PATH + r"/([^/]+)", JobHandler, {"intake": self.intake}),
-            (
-                wire.JOBS_PATH + r"/([^/]+)/" + wire.CANCEL_PATH,
-                CancelHandler,
-                {"intake": self.intake},
-            ),
+            *_user_rules("", relay),
             (wire.HEALTH_PATH, HealthHandler, {"healthy": lambda: True}),
             (wire.REPORT_PATH, ReportHandler, {"take_report": self.take_report}),
         ]
         operators: list[Any] = [
             (r"/admin/state", AdminStateHandler, {"node": self}),
             (TRUCE_PATH, TruceHandler, {"truce": self._truce}),
+            *_user_rules(PEER_PREFIX, self.intake),
         ]
         for rules, where in (
             (users, self._settings.client_listen),
@@ -223,6 +220,15 @@
         return shown
 
 
+def _user_rules(prefix: str, users: Users) -> list[Any]:
+    jobs = prefix + wire.JOBS_PATH
+    return [
+        (jobs, JobsHandler, {"intake": users}),
+        (jobs + r"/([^/]+)", JobHandler, {"intake": users}),
+        (jobs + r"/([^/]+)/" + wire.CANCEL_PATH, CancelHandler, {"intake": users}),
+    ]
+
+
 def configure_logging() -> None:
     """Logs to standard error at the level that `LOG_LEVEL` names."""
     names = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -63,6 +63,8 @@
         self._limits = limits
         self._nodes = nodes
         self._leads = False
+        self.failing = False
+        """The last exchange brought no answer, or 503."""
         self.requests = Budget(self._share() * limits.rps)
         self.writes = Budget(self._share() * limits.write_rps)
         self.accepts = Budget(_ACCEPT_SHARE * limits.write_rps, depth=limits.write_rps)
@@ -161,8 +163,11 @@
         self, method: str, path: str, body: bytes | None = None, timeout_s: float = 2.0
     ) -> Answer:
         try:
-            return await self._http.request(method, path, body, timeout_s)
+            answer = await self._http.request(method, path, body, timeout_s)
+            self.failing = answer.status == 503
+            return answer
         except NoAnswer as error:
+            self.failing = True
             if error.sent:
                 raise Unknown(str(error)) from None
             raise Refused(str(error)) from None
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -47,10 +47,12 @@
     status: int
     body: dict[str, Any]
     retry_after_s: int | None = None
+    elsewhere: bool = False
+    """Another node may be able to do what this one could not."""
 
 
-def _unavailable(why: str) -> Reply:
-    return Reply(503, {"error": why}, retry_after_s=1)
+def _unavailable(why: str, elsewhere: bool = True) -> Reply:
+    return Reply(503, {"error": why}, retry_after_s=1, elsewhere=elsewhere)
 
 
 _NOT_FOUND: Final = Reply(404, {"error": "no such job"})
@@ -126,13 +128,15 @@
 
     async def _accept(self, spec: wire.JobSpec, job_id: JobId) -> Reply:
         if not self._client.accepts.take_now():
-            return self._refuse(job_id, "too many submissions")
+            return self._refuse(job_id, "too many submissions", elsewhere=False)
         guards = [wire.guard(job_key(job_id), ABSENT), wire.guard(over_key(job_id), ABSENT)]
         record = {"spec": wire.plain(spec), "at": wall_now()}
         try:
             result = await self._commit_accepted(guards, [wire.put(job_key(job_id), record)])
         except Rejected as error:
             return Reply(400, {"error": f"the state service can't keep it: {error}"})
+        except Busy as error:
+            return self._refuse(job_id, str(error), elsewhere=False)
         except Refused as error:
             return self._refuse(job_id, str(error))
         except Unknown:
@@ -153,9 +157,9 @@
         return await self._client.commit(guards, changes, paid=True)
 
     @staticmethod
-    def _refuse(job_id: JobId, why: str) -> Reply:
+    def _refuse(job_id: JobId, why: str, elsewhere: bool = True) -> Reply:
         log.info("submission of %s refused: %s", job_id, why)
-        return _unavailable(why)
+        return _unavailable(why, elsewhere)
 
     async def _known(self, job_id: JobId) -> Reply | None:
         """The answer to a repeated submission; None if the job is not known."""
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,79 @@
+"""Users' requests by way of another node."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import orjson
+import pytest
+
+from tealrill import settings
+from tealrill.api.relay import Relay, Users
+from tealrill.http import Answer, Client, NoAnswer
+from tealrill.state.intake import Reply
+from tests.samples import SETTINGS
+
+_REFUSED = Reply(503, {"error": "down"}, 1, elsewhere=True)
+_FULL = Reply(503, {"error": "too many"}, 1)
+_ACCEPTED = Reply(201, {"id": "wk-1"})
+
+
+class _Local:
+    """This node's own attempt; None for one that never ends."""
+
+    def __init__(self, reply: Reply | None) -> None:
+        self._reply = reply
+
+    async def submit(self, body: bytes) -> Reply:
+        if self._reply is None:
+            await asyncio.Event().wait()
+        assert self._reply is not None
+        return self._reply
+
+
+class _Peer:
+    """Another node; None for one that can't be reached."""
+
+    def __init__(self, status: int | None) -> None:
+        self.status = status
+        self.asked = 0
+
+    async def request(self, method: str, path: str, body: bytes | None, timeout_s: float) -> Answer:
+        self.asked += 1
+        assert (method, path) == ("POST", "/peer/v2/runs")
+        if self.status is None:
+            raise NoAnswer("refused", False)
+        answer = Answer()
+        answer.status, answer.body = self.status, b"{}"
+        return answer
+
+
+def _submit(
+    monkeypatch: pytest.MonkeyPatch, local: Reply | None, peer: int | None, failing: bool = False
+) -> tuple[int, int]:
+    monkeypatch.setattr("tealrill.api.relay._SLOW_S", 0.01)
+    parsed = settings.parse(orjson.dumps(SETTINGS))
+    relay = Relay(cast(Users, _Local(local)), parsed, lambda: failing)
+    other = _Peer(peer)
+    relay._peers = [cast(Client, other)]
+    return asyncio.run(relay.submit(b"{}")).status, other.asked
+
+
+def test_what_this_node_settles_is_not_asked_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert _submit(monkeypatch, _ACCEPTED, 201) == (201, 0)
+    # A budget that is used up is no reason to use another node's.
+    assert _submit(monkeypatch, _FULL, 201) == (503, 0)
+
+
+def test_a_node_cut_off_from_the_records_answers_by_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert _submit(monkeypatch, _REFUSED, 201) == (201, 1)
+    assert _submit(monkeypatch, _REFUSED, 422, failing=True) == (422, 1)
+    assert _submit(monkeypatch, None, 200) == (200, 1)
+
+
+def test_an_outage_everywhere_is_answered_as_such(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert _submit(monkeypatch, _REFUSED, 503) == (503, 1)
+    assert _submit(monkeypatch, _REFUSED, None) == (503, 1)
