--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -25,7 +25,7 @@
 
 LEADER_KEY: Final = "leader"
 TERM_KEY: Final = "term"
-TTL_S: Final = 6.0
+TTL_S: Final = 3.0
 _DRIFT: Final = 0.999
 """Two clocks that each run up to 0.05% off differ by at most 0.1%."""
 _MARGIN_S: Final = 0.2
@@ -134,7 +134,7 @@
     async def _hold(self, mine: Leadership) -> None:
         sent = steady_now()
         try:
-            alive = await self._client.extend_lease(mine.lease, timeout_s=1.0)
+            alive = await self._client.extend_lease(mine.lease, timeout_s=0.6)
         except StateError as error:
             log.debug("term %d: renewal failed: %s", mine.term, error)
             mine.troubled = True
