--- a/tealrill/api/peers.py
+++ b/tealrill/api/peers.py
@@ -20,3 +20,10 @@
             self.reply(400, {"error": str(error)})
             return
         self.reply(200, await self._truce.asked(request))
+
+
+class PingHandler(JsonHandler):
+    """Whether this node can be reached from another."""
+
+    def get(self) -> None:
+        self.reply(200, {})
--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -12,7 +12,7 @@
 from tealrill import wire
 from tealrill.api.admin import AdminStateHandler
 from tealrill.api.base import NotFound, no_access_log
-from tealrill.api.peers import TruceHandler
+from tealrill.api.peers import PingHandler, TruceHandler
 from tealrill.api.relay import PEER_PREFIX, Relay, Users
 from tealrill.api.users import CancelHandler, HealthHandler, JobHandler, JobsHandler
 from tealrill.api.workers import ReportHandler
@@ -21,6 +21,7 @@
 from tealrill.scheduler.estimates import Estimates
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import StateClient
+from tealrill.state.deputy import PING_PATH, Deputy
 from tealrill.state.election import Election
 from tealrill.state.intake import Intake
 from tealrill.state.truce import PROMISE_S, TRUCE_PATH, Truce
@@ -56,6 +57,7 @@
         self.intake = Intake(self._client, settings, lambda: self._catalogue)
         self.intake.counts = self._counts
         self._truce = Truce(settings, self._client, self.election, self.intake.cancelled_since)
+        self._deputy = Deputy(settings, self._client, self.election)
         self._truce.seen = lambda: self.leader.seen if self.leader is not None else Revision(0)
         self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
@@ -67,6 +69,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.election.run())
             group.create_task(self._truce.run())
+            group.create_task(self._deputy.run())
             group.create_task(self._terms())
             group.create_task(self._fetch_catalogue())
             group.create_task(self._check_hearing())
@@ -81,6 +84,7 @@
         operators: list[Any] = [
             (r"/admin/state", AdminStateHandler, {"node": self}),
             (TRUCE_PATH, TruceHandler, {"truce": self._truce}),
+            (PING_PATH, PingHandler),
             *_user_rules(PEER_PREFIX, self.intake),
         ]
         for rules, where in (
@@ -149,6 +153,10 @@
         self._last_report = now
         mine = self.election.leading(now)
         if mine is None or self.leader is None:
+            term = self._deputy.term(now)
+            if term is not None and report.token <= term:
+                # The leader can't hear this worker, and waits for it.
+                return 200, wire.report_answer(term, [])
             known = self.election.known
             host = known.host if known is not None else None
             return 421, wire.redirect(host if host != self._settings.host_name else None)
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -136,7 +136,14 @@
 class Fleet:
     """All machines of one term."""
 
-    def __init__(self, book: Book, term: Token, elected_at: Steady, lease_s: float) -> None:
+    def __init__(
+        self,
+        book: Book,
+        term: Token,
+        elected_at: Steady,
+        lease_s: float,
+        permit_s: float = 0.0,
+    ) -> None:
         self.machines: dict[MachineId, Machine] = {}
         self.gone: dict[MachineId, Steady] = {}
         """Machines whose release was confirmed; lists and late reports may still show them."""
@@ -148,6 +155,9 @@
         self._term = term
         self._elected_at = elected_at
         self._silence_s = lease_s * _LEASE_DRIFT + _LEASE_MARGIN_S
+        self._permit_s = permit_s
+        # A permit of an earlier term may have been acted on for a moment after the election.
+        self._elsewhere_until = Steady(elected_at + permit_s)
 
     # -- inherited records ----------------------------------------------------------------------
 
@@ -518,14 +528,30 @@
 
     # -- silence, and the cloud's word ----------------------------------------------------------
 
+    def permit_ended(self, now: Steady) -> None:
+        """A deputy's permit was closed; it may have acted on it for a moment longer."""
+        self._elsewhere_until = Steady(max(self._elsewhere_until, now + self._permit_s))
+
+    def silent(self, now: Steady) -> list[Machine]:
+        """Machines whose lease has certainly run out, unless a deputy renewed it."""
+        return [
+            machine
+            for machine in self.machines.values()
+            if not machine.lapsed
+            and machine.session is not None
+            and now - self._renewed_at(machine) > self._silence_s
+        ]
+
+    def _renewed_at(self, machine: Machine) -> Steady:
+        own = machine.answered_at if machine.answered_at is not None else self._elected_at
+        return max(own, self._elsewhere_until)
+
     def check_silence(self, now: Steady) -> None:
-        """Proof 3: a worker whose lease has certainly run out has killed all its tasks."""
-        for machine in self.machines.values():
-            if machine.lapsed or machine.session is None:
-                continue
-            since = machine.answered_at if machine.answered_at is not None else self._elected_at
-            if now - since <= self._silence_s:
-                continue
+        """Proof 3: a worker whose lease has certainly run out has killed all its tasks.
+
+        With deputies about, `now` must lie before it was seen that none of them has a permit.
+        """
+        for machine in self.silent(now):
             log.info(
                 "machine %s lapsed in session %d with %d tasks",
                 machine.id,
--- a/tealrill/http.py
+++ b/tealrill/http.py
@@ -24,9 +24,11 @@
 class NoAnswer(Exception):
     """No answer came. `sent` is False only if the request certainly never left."""
 
-    def __init__(self, why: str, sent: bool) -> None:
+    def __init__(self, why: str, sent: bool, refused: bool = False) -> None:
         super().__init__(why)
         self.sent = sent
+        self.refused = refused
+        """The connection was refused at once."""
 
 
 class Answer(httputil.HTTPMessageDelegate):
@@ -81,7 +83,9 @@
                 answer = await self._exchange(stream, method, path, body)
         except (TimeoutError, OSError, iostream.StreamClosedError, httputil.HTTPInputError) as err:
             self._close(stream)
-            raise NoAnswer(f"{type(err).__name__}: {err}", sent) from None
+            cause = getattr(err, "real_error", None) or err
+            refused = isinstance(cause, ConnectionRefusedError)
+            raise NoAnswer(f"{type(err).__name__}: {err}", sent, refused) from None
         except BaseException:
             self._close(stream)
             raise
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -28,6 +28,7 @@
     over_key,
 )
 from tealrill.state.client import StateClient, StateError
+from tealrill.state.deputy import PERMIT_S, Permits
 from tealrill.state.election import Election, Leadership
 from tealrill.state.keeper import Deposed, Keeper
 from tealrill.types import (
@@ -75,7 +76,10 @@
         self._mine = mine
         self._estimates = estimates
         self.book = Book(params.state.value_kb)
-        self.fleet = Fleet(self.book, mine.term, mine.elected_at, params.workers.lease_s)
+        self.fleet = Fleet(self.book, mine.term, mine.elected_at, params.workers.lease_s, PERMIT_S)
+        self._permits = Permits(
+            client, mine.term, mine.stamp, lambda: self.fleet.permit_ended(steady_now())
+        )
         self.fleet.changed = self.wake
         self.fleet.finished = self._finished
         self.renter = Renter(cloud, self.fleet, mine.term, params.cloud.list_lag_s)
@@ -274,7 +278,22 @@
     async def _silences(self) -> None:
         while True:
             await asyncio.sleep(_SILENCE_EVERY_S)
-            self.fleet.check_silence(steady_now())
+            try:
+                await self._check_silence()
+            except StateError as error:
+                log.debug("looking for deputies: %s", error)
+
+    async def _check_silence(self) -> None:
+        """Machines lapse only once it is seen that no other node could have renewed them."""
+        now = steady_now()
+        silent = self.fleet.silent(now)
+        if not silent:
+            await self._permits.clear()
+            return
+        # What its user was told is cancelled must not be kept running by a deputy.
+        cancelled = any(b.chunk.job.cancelled for m in silent for b in m.bindings.values())
+        if not await self._permits.stand(now, close=cancelled):
+            self.fleet.check_silence(now)
 
     # -- workers --------------------------------------------------------------------------------
 
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -54,6 +54,8 @@
 class KnownLeader:
     host: str
     term: Token
+    stamp: Revision = ABSENT
+    """The version of its key."""
 
 
 def _validity(sent: Steady) -> Steady:
@@ -170,7 +172,9 @@
             else:
                 await self._stand(Revision(entry.version))
             return
-        self.known = KnownLeader(str(holder.get("host")), Token(int(holder.get("term", 0))))
+        self.known = KnownLeader(
+            str(holder.get("host")), Token(int(holder.get("term", 0))), Revision(entry.version)
+        )
         await self._client.watch(LEADER_KEY, revision, _WATCH_S)
 
     async def _withdraw(self, entry: wire.Entry) -> None:
@@ -234,6 +238,6 @@
     def _won(self, mine: Leadership) -> None:
         log.info("term %d: elected", mine.term)
         self.mine = mine
-        self.known = KnownLeader(self._host, mine.term)
+        self.known = KnownLeader(self._host, mine.term, mine.stamp)
         self._client.set_leading(True)
         self._changed()
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -26,6 +26,7 @@
 from tests.samples import report, spec
 
 LEASE_S = 8.0
+PERMIT_S = 2.0
 MACHINES = ("m-1", "m-2")
 TASKS = 2
 
@@ -104,6 +105,10 @@
         self.workers = {name: Worker(name, renewed_at=self.now) for name in MACHINES}
         self.store: dict[int, Any] = {}
         self.term = 0
+        self.permit: tuple[int, bool] | None = None
+        """The deputy's key: its term, and whether the leader has closed it."""
+        self.permitted = (0, -1e9)
+        """The term that the deputy may answer for, and until when."""
         self.beats: list[Beat] = []
         self.responses: list[tuple[Beat, int, list[dict[str, Any]]]] = []
         self.directs: list[Direct] = []
@@ -134,7 +139,9 @@
         self.term += 1
         self.book = Book(4.0)
         self.job = self.book.add(spec(pieces=TASKS), Wall(0.0), Revision(1))
-        self.fleet = self.fleet_class(self.book, Token(self.term), Steady(self.now), LEASE_S)
+        self.fleet = self.fleet_class(
+            self.book, Token(self.term), Steady(self.now), LEASE_S, PERMIT_S
+        )
         bindings = [
             binding
             for number, value in self.store.items()
@@ -193,6 +200,32 @@
         worker.renewed_at = max(worker.renewed_at, beat.sent_at)
         worker.execute(commands)
 
+    def deputy_confirms(self) -> None:
+        """A node in a cut zone writes its permit, guarded by the key of the leader of this term."""
+        if self.permit != (self.term, True):
+            self.permit = (self.term, False)
+            self.permitted = (self.term, self.now + PERMIT_S)
+
+    def deputy_answers(self) -> None:
+        """It renews a worker, without commands. Its term may be over, for a moment."""
+        term, until = self.permitted
+        beat = self._take(self.beats)
+        if beat is not None and self.now <= until and beat.report.token <= term:
+            self.responses.append((beat, term, []))
+
+    def deputy_round_trip(self) -> None:
+        """A worker in a cut zone is renewed by the node beside it."""
+        self.deputy_confirms()
+        self.worker_reports()
+        self.beats[:], rest = self.beats[-1:], self.beats[:-1]
+        before = len(self.responses)
+        self.deputy_answers()
+        self.beats[:] = rest
+        if len(self.responses) > before:
+            kept, self.responses = self.responses[:-1], self.responses[-1:]
+            self.response_arrives()
+            self.responses = kept
+
     def round_trip(self) -> None:
         """A report and its response without trouble."""
         self.worker_reports()
@@ -258,10 +291,15 @@
     # -- time, tasks, the cloud -----------------------------------------------------------------
 
     def time_passes(self) -> None:
-        self.now += self.random.choice([0.5, 3.0, 5.0])
+        self.now += self.random.choice([0.5, 1.5, 3.0, 5.0])
         for worker in self.workers.values():
             worker.lapse(self.now)
-        self.fleet.check_silence(Steady(self.now))
+        if self.permit != (self.term, False):
+            self.fleet.check_silence(Steady(self.now))
+        elif self.random.random() < 0.5:
+            # The leader closes a permit, or has removed it because all machines were heard.
+            self.permit = (self.term, True) if self.random.random() < 0.5 else None
+            self.fleet.permit_ended(Steady(self.now))
 
     def a_task_exits(self) -> None:
         worker = self.random.choice(list(self.workers.values()))
@@ -294,6 +332,9 @@
         command_directly: 3,
         direct_arrives: 3,
         direct_round_trip: 4,
+        deputy_confirms: 1,
+        deputy_answers: 2,
+        deputy_round_trip: 4,
         time_passes: 3,
         a_task_exits: 2,
         released: 1,
@@ -344,10 +385,25 @@
     """A new leader that does not count its election as a possible renewal."""
 
     def check_silence(self, now: Steady) -> None:
-        self._elected_at = Steady(0.0)
+        self._elected_at = self._elsewhere_until = Steady(0.0)
         super().check_silence(now)
 
 
+class ForgetsClosedPermits(Fleet):
+    """A deputy may act on its permit for a moment after it was closed."""
+
+    def permit_ended(self, now: Steady) -> None:
+        return
+
+
+class ForgetsPermitsOfEarlierTerms(Fleet):
+    """A deputy may act on an older leader's permit for a moment after the election."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._elsewhere_until = self._elected_at
+
+
 class IgnoresWhatIsListed(Fleet):
     """Releases a binding whenever a report does not list it, even before a start could arrive."""
 
@@ -374,6 +430,47 @@
             Cluster(seed, mutant).run(STEPS)
 
 
+@pytest.mark.parametrize("new_leader", [False, True])
+@pytest.mark.parametrize(
+    ("fleet_class", "kept"),
+    [(Fleet, True), (ForgetsClosedPermits, False), (ForgetsPermitsOfEarlierTerms, False)],
+)
+def test_a_worker_renewed_by_a_deputy_does_not_lapse(
+    fleet_class: type[Fleet], kept: bool, new_leader: bool
+) -> None:
+    """The last that a deputy does on its permit is to renew a worker, and then the permit ends."""
+    cluster = Cluster(0, fleet_class)
+    for _ in range(40):
+        cluster.round_trip()
+    cluster.now += 5.0
+    cluster.bind()
+    cluster.commit()
+    for _ in range(40):
+        cluster.round_trip()
+    (binding,) = cluster.job.bindings()
+    worker = cluster.workers[binding.machine]
+    assert worker.tasks
+    cluster.deputy_confirms()
+    if new_leader:
+        cluster.elect()
+    else:
+        cluster.fleet.permit_ended(Steady(cluster.now))
+    asked, ends = cluster.now + PERMIT_S, cluster.now
+    # The worker's report is answered at the end of the permit, and renews it from its sending.
+    term, until = cluster.permitted
+    assert asked <= until and term == cluster.term - new_leader
+    worker.renewed_at = asked
+    cluster.now = ends + LEASE_S + 1.0
+    cluster.fleet.check_silence(Steady(cluster.now))
+    assert cluster.now - worker.renewed_at < LEASE_S
+    still_bound = bool(list(cluster.job.bindings()))
+    forgotten = ForgetsPermitsOfEarlierTerms if new_leader else ForgetsClosedPermits
+    assert still_bound is (kept or fleet_class is not forgotten)
+    cluster.now = asked + LEASE_S + 1.0
+    cluster.fleet.check_silence(Steady(cluster.now))
+    assert not list(cluster.job.bindings())
+
+
 def test_a_direct_answer_is_no_proof_for_a_start_under_way() -> None:
     """The response with the start may still be on its way when a direct command is answered."""
     cluster = Cluster(0, Fleet)
--- /dev/null
+++ b/tests/test_deputy.py
@@ -0,0 +1,171 @@
+"""Permits to renew workers: the deputy's side and the leader's, against one store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import orjson
+import pytest
+
+from tealrill import settings, wire
+from tealrill.http import Answer, Client, NoAnswer
+from tealrill.state.client import Committed, Failed, Refused, StateClient, StateError
+from tealrill.state.deputy import DEPUTY_PREFIX, PERMIT_S, Deputy, Permits
+from tealrill.state.election import LEADER_KEY, Election, KnownLeader
+from tealrill.types import Revision, Steady, Token
+from tests.samples import SETTINGS
+
+LEADER = KnownLeader("node-1", Token(3), Revision(7))
+
+
+class _Store:
+    def __init__(self) -> None:
+        self.keys: dict[str, tuple[Any, int]] = {LEADER_KEY: ({}, 7)}
+        self.epoch = 7
+        self.down = False
+
+    async def get(self, key: str) -> wire.KeyValue | None:
+        entry = self.keys.get(key)
+        return None if entry is None else wire.KeyValue(value=entry[0], version=entry[1])
+
+    async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
+        if self.down:
+            raise Refused("status 503")
+        return [
+            wire.Entry(key=k, value=v, version=r)
+            for k, (v, r) in self.keys.items()
+            if k.startswith(prefix)
+        ], Revision(self.epoch)
+
+    async def commit(self, guards: list[Any], changes: list[Any]) -> Committed | Failed:
+        failed = [g["path"] for g in guards if self.keys.get(g["path"], (0, 0))[1] != g["stamp"]]
+        if failed:
+            return Failed(failed)
+        self.epoch += 1
+        for change in changes:
+            if "set" in change:
+                self.keys[change["set"]] = (change["value"], self.epoch)
+            else:
+                del self.keys[change["delete"]]
+        return Committed(Revision(self.epoch))
+
+
+class _Leader:
+    """The leader's cluster address, as the deputy reaches it."""
+
+    error: NoAnswer | None = NoAnswer("TimeoutError", False)
+
+    async def request(self, *_: object, timeout_s: float) -> Answer:
+        if self.error is not None:
+            raise self.error
+        return Answer()
+
+
+class _Side:
+    """A deputy in a cut zone, with its own clock."""
+
+    def __init__(self, store: _Store) -> None:
+        self.now = Steady(100.0)
+        client = cast(StateClient, store)
+        self.election = Election(client, "node-0", lambda: None)
+        self.election.known = LEADER
+        parsed = settings.parse(orjson.dumps(SETTINGS))
+        self.deputy = Deputy(parsed, client, self.election, lambda: self.now)
+        self.leader = _Leader()
+
+    def tick(self) -> Token | None:
+        async def run() -> None:
+            await self.deputy._ping(cast(Client, self.leader))
+            if self.deputy._wanted(self.now):
+                await self.deputy.confirm(LEADER)
+
+        asyncio.run(run())
+        return self.deputy.term(self.now)
+
+
+def _permits(store: _Store) -> Permits:
+    return Permits(cast(StateClient, store), LEADER.term, LEADER.stamp, lambda: None)
+
+
+def test_a_deputy_renews_only_while_the_leader_is_out_of_reach() -> None:
+    side = _Side(_Store())
+    assert [side.tick(), side.tick()] == [None, 3]
+    side.now = Steady(side.now + PERMIT_S)
+    assert side.deputy.term(side.now) is None
+    assert side.tick() == 3
+    side.leader.error = None
+    assert side.tick() is None
+    # A refusal means a process that is gone, or controllers kept apart: workers aren't cut off.
+    side.leader.error = NoAnswer("refused", False, refused=True)
+    assert [side.tick(), side.tick()] == [None, None]
+
+
+def test_a_permit_ends_with_the_leader_it_is_from() -> None:
+    store = _Store()
+    side = _Side(store)
+    side.tick()
+    store.keys[LEADER_KEY] = ({}, 9)
+    assert side.tick() is None
+    assert DEPUTY_PREFIX + "node-0" not in store.keys
+    store.keys[LEADER_KEY] = ({}, 7)
+    assert side.tick() == 3
+    side.election.known = KnownLeader("node-1", Token(4), Revision(9))
+    assert side.deputy.term(side.now) is None
+
+
+def test_nothing_lapses_while_a_permit_stands_or_can_not_be_looked_for() -> None:
+    store = _Store()
+    side, permits = _Side(store), _permits(store)
+    assert asyncio.run(permits.stand(Steady(0.0), False)) is False
+    side.tick()
+    side.tick()
+    assert asyncio.run(permits.stand(Steady(1.0), False)) is True
+    store.down = True
+    with pytest.raises(StateError):
+        asyncio.run(permits.stand(Steady(1.5), False))
+
+
+def test_a_closed_permit_is_not_confirmed_again_in_its_term() -> None:
+    store = _Store()
+    side, permits = _Side(store), _permits(store)
+    side.tick()
+    side.tick()
+    assert asyncio.run(permits.stand(Steady(1.0), close=True)) is True
+    assert asyncio.run(permits.stand(Steady(1.5), close=True)) is False
+    side.now = Steady(side.now + PERMIT_S)
+    assert side.tick() is None
+    asyncio.run(permits.clear())
+    assert side.tick() == 3
+
+
+def test_a_permit_counts_as_ended_whenever_its_removal_was_tried() -> None:
+    # Two permits: one is removed, the other has just been written anew.
+    store = _Store()
+    side = _Side(store)
+    side.tick()
+    side.tick()
+    ended: list[int] = []
+    permits = Permits(cast(StateClient, store), Token(3), Revision(8), lambda: ended.append(1))
+    asyncio.run(permits.stand(Steady(1.0), False))
+    with pytest.raises(StateError):
+        asyncio.run(permits.clear())
+    assert ended
+
+
+def test_a_permit_that_serves_nobody_any_more_is_closed() -> None:
+    store = _Store()
+    side, permits = _Side(store), _permits(store)
+    side.tick()
+    side.tick()
+    found = [asyncio.run(permits.stand(Steady(float(at)), False)) for at in (1, 3, 6, 7)]
+    assert found == [True, True, True, False]
+
+
+def test_the_permit_of_an_older_term_is_void() -> None:
+    store = _Store()
+    side = _Side(store)
+    side.tick()
+    side.tick()
+    later = Permits(cast(StateClient, store), Token(4), Revision(9), lambda: None)
+    assert asyncio.run(later.stand(Steady(1.0), False)) is False
