--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -254,7 +254,15 @@
 
     def _job_over(self, job: Job) -> None:
         if job.complete or job.done_count >= job.spec.tasks:
-            log.info("job %s is done", job.id)
+            spec = job.spec
+            log.info(
+                "job %s is done: %s, %d tasks, after %.0f s, due after %s s",
+                job.id,
+                spec.job_class,
+                spec.tasks,
+                wall_now() - job.submitted,
+                f"{spec.deadline_s:.0f}" if spec.deadline_s is not None else "-",
+            )
         if job.cancelled:
             self.dispatcher.cancel(job, steady_now())
 
