--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -39,7 +39,7 @@
 _EXPECTED_FOR_S: Final = 45.0
 """A class of which nothing was submitted for so long is not expected any more."""
 _DEAR_IDLE_S: Final = 8.0
-_SLOWEST: Final = 1.3
+_LIKELY: Final = 0.7
 _MINIMUM_S: Final = 58.0
 _SILENT_RETURN_S: Final = 45.0
 
@@ -213,8 +213,8 @@
         if spec.deadline_s is None:
             return ()
         times = self._times.get(spec.job_class, [1.0])
-        # The last of an array's tasks to end runs longer than the median of all.
-        run_s *= _SLOWEST
+        # Estimates are often wrong by half: a deadline isn't given up for the last part of one.
+        run_s *= _LIKELY
         return tuple(spec.deadline_s * t - waited_s - run_s for t in times)
 
     def _teams(self) -> dict[str, TeamView]:
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -89,14 +89,14 @@
         cpus = policy.cheap_share * cheap_cpus - held
         if cpus <= 0:
             break
-        due = [j for j in levels[number] if j.latest_s and _limit_s(j, 0) > _spare_s(j)]
+        due = [j for j in levels[number] if j.latest_s and j.latest_s[0] > _spare_s(j)]
         found |= _in_time(due, 0, cpus, ahead, _spare_s)
         ahead += sum(_work(job) for job in levels[number])
     return found
 
 
 def _spare_s(job: JobView) -> float:
-    return 0.2 * job.estimate_s
+    return 0.8 * job.estimate_s
 
 
 def _work(job: JobView) -> float:
@@ -123,17 +123,7 @@
 
 
 def _possible(job: JobView, deadline: int) -> bool:
-    return deadline < len(job.latest_s) and _limit_s(job, deadline) >= 0
-
-
-def _limit_s(job: JobView, deadline: int) -> float:
-    """By when the last task has to start.
-
-    The latest start allows for the slowest task of an array, which runs well longer than the
-    median. A job past it is not given up yet: most of its tasks may be faster.
-    """
-    latest = job.latest_s[deadline]
-    return max(latest, 0.5 * (latest + 0.5 * job.estimate_s))
+    return deadline < len(job.latest_s) and job.latest_s[deadline] >= 0
 
 
 def _in_time(
@@ -148,6 +138,6 @@
     for job in sorted(jobs, key=lambda j: (j.latest_s[deadline], j.id)):
         heapq.heappush(largest, (-_work(job), job.id, job))
         ahead += _work(job)
-        if ahead > cpus * (_limit_s(job, deadline) - spare_s(job)):
+        if ahead > cpus * (job.latest_s[deadline] - spare_s(job)):
             ahead += heapq.heappop(largest)[0]
     return {job for _, _, job in largest}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -29,20 +29,12 @@
 
 
 def test_a_job_that_is_late_anyway_does_not_make_others_late() -> None:
-    late = job_view("late-1", latest_s=(-25.0, -15.0))
-    second = job_view("second-1", latest_s=(-25.0, 60.0))
+    late = job_view("late-1", latest_s=(-5.0, -1.0))
+    second = job_view("second-1", latest_s=(-5.0, 60.0))
     tight = job_view("tight-1", latest_s=(50.0, 150.0))
     assert order([late, second, tight], {}, Policy(), 100.0) == [tight, second, late]
 
 
-def test_a_job_just_past_its_latest_start_is_not_given_up() -> None:
-    # The latest start allows for the slowest task; most of them may be faster.
-    hurried = job_view("hurried-1", latest_s=(-2.0,), estimate_s=30.0)
-    relaxed = job_view("relaxed-1", latest_s=(90.0,), estimate_s=30.0)
-    lost = job_view("lost-1", latest_s=(-20.0,), estimate_s=30.0)
-    assert order([relaxed, lost, hurried], {}, Policy(), 100.0) == [hurried, relaxed, lost]
-
-
 def test_an_overload_passes_over_the_largest_job_and_not_the_latest() -> None:
     # Ordered by slack alone, one large job made ten small ones late.
     large = job_view("large-1", latest_s=(40.0,), tasks=100, waiting=100, estimate_s=30.0)
