--- a/tealrill/api/peers.py
+++ b/tealrill/api/peers.py
@@ -23,7 +23,10 @@
 
 
 class PingHandler(JsonHandler):
-    """Whether this node can be reached from another."""
+    """Whether this node can be reached from another, and whether it leads."""
+
+    def initialize(self, truce: Truce) -> None:
+        self._truce = truce
 
     def get(self) -> None:
-        self.reply(200, {})
+        self.reply(200, self._truce.presence())
--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -21,10 +21,10 @@
 from tealrill.scheduler.estimates import Estimates
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import StateClient
-from tealrill.state.deputy import PING_PATH, Deputy
+from tealrill.state.deputy import Deputy
 from tealrill.state.election import Election
 from tealrill.state.intake import Intake
-from tealrill.state.truce import PROMISE_S, TRUCE_PATH, Truce
+from tealrill.state.truce import PING_PATH, PROMISE_S, TRUCE_PATH, Truce
 from tealrill.types import JobId, MachineId, Revision, Steady, steady_now
 
 log = logging.getLogger(__name__)
@@ -57,6 +57,7 @@
         self.intake = Intake(self._client, settings, lambda: self._catalogue)
         self.intake.counts = self._counts
         self._truce = Truce(settings, self._client, self.election, self.intake.cancelled_since)
+        self.election.nobody_leads = self._truce.nobody_leads
         self._deputy = Deputy(settings, self._client, self.election)
         self._truce.seen = lambda: self.leader.seen if self.leader is not None else Revision(0)
         self._truce.cancelled = self._cancelled_elsewhere
@@ -84,7 +85,7 @@
         operators: list[Any] = [
             (r"/admin/state", AdminStateHandler, {"node": self}),
             (TRUCE_PATH, TruceHandler, {"truce": self._truce}),
-            (PING_PATH, PingHandler),
+            (PING_PATH, PingHandler, {"truce": self._truce}),
             *_user_rules(PEER_PREFIX, self.intake),
         ]
         for rules, where in (
--- a/tealrill/state/deputy.py
+++ b/tealrill/state/deputy.py
@@ -21,12 +21,12 @@
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import Committed, Refused, StateClient, StateError
 from tealrill.state.election import LEADER_KEY, Election, KnownLeader
+from tealrill.state.truce import PING_PATH
 from tealrill.types import ABSENT, Revision, Steady, Token, steady_now
 
 log = logging.getLogger(__name__)
 
 DEPUTY_PREFIX: Final = "deputy/"
-PING_PATH: Final = "/peer/ping"
 PERMIT_S: Final = 2.5
 """How long a node may act on a permit after it sent the write that confirmed it."""
 _DRIFT: Final = 0.999
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -13,7 +13,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -58,6 +58,10 @@
     """The version of its key."""
 
 
+async def _not_known() -> bool:
+    return False
+
+
 def _validity(sent: Steady) -> Steady:
     return Steady(sent + TTL_S * _DRIFT - _MARGIN_S)
 
@@ -74,8 +78,11 @@
     ) -> None:
         self._client = client
         self._host = host
+        self._promised_until = steady_now()
         # A promise of this host's former process (`state.truce`) is not known to this one.
-        self._promised_until = Steady(steady_now() + promised_s)
+        self._restarted_until = Steady(steady_now() + promised_s)
+        self.nobody_leads: Callable[[], Awaitable[bool]] = _not_known
+        """Whether every other member has just said that it does not lead."""
         self._standing: Token | None = None
         """An election of this node that is under way, or that brought no answer: it may take place
         at any later time."""
@@ -203,10 +210,14 @@
             wire.guard(TERM_KEY, last.version if last is not None else ABSENT),
         ]
         changes = [wire.put(LEADER_KEY, value, lease), wire.put(TERM_KEY, term)]
-        if stamp == ABSENT and last is not None and steady_now() < self._promised_until:
-            # Looked at last of all: a promise may have been given while the above was awaited. A
-            # key that this host's former process left is no other leader's, and a service without
-            # a term has had no leader who could hold a promise.
+        # A key that this host's former process left is no other leader's, and a service without a
+        # term has had no leader who could hold a promise.
+        bound = stamp == ABSENT and last is not None
+        if bound and not await self._free_of_former_promises():
+            await asyncio.sleep(0.05)
+            return
+        if bound and steady_now() < self._promised_until:
+            # Looked at last of all: a promise may have been given while the above was awaited.
             await asyncio.sleep(0.05)
             return
         self._standing = term
@@ -224,6 +235,16 @@
             return
         self._won(Leadership(term, revision, lease, steady_now(), _validity(sent)))
 
+    async def _free_of_former_promises(self) -> bool:
+        """Whether what this host's former process may have promised binds nobody any more.
+
+        Only a leader could go on by it. When all controllers crash together, their workers' leases
+        do not leave the time to wait for the promise's end.
+        """
+        if steady_now() < self._restarted_until and await self.nobody_leads():
+            self._restarted_until = steady_now()
+        return steady_now() >= self._restarted_until
+
     async def _read_back(self, term: Token) -> Revision | None:
         """After an election without an answer: whether it took place."""
         entry = await self._client.get(LEADER_KEY)
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -26,6 +26,7 @@
 PROMISE_S: Final = 4.0
 """How long a promise holds on the clock of the member that gives it."""
 TRUCE_PATH: Final = "/peer/truce"
+PING_PATH: Final = "/peer/ping"
 _DRIFT: Final = 0.999
 _MARGIN_S: Final = 0.2
 _ASK_EVERY_S: Final = 0.7
@@ -47,6 +48,12 @@
     """Jobs whose cancellation was acknowledged here after the revision that the leader has seen."""
 
 
+class Presence(msgspec.Struct, frozen=True):
+    """The answer to a ping."""
+
+    leads: bool
+
+
 class Standing(Protocol):
     """The part of an election that promises concern."""
 
@@ -137,6 +144,23 @@
         except (NoAnswer, wire.Malformed) as error:
             return Answer(False, str(error))
 
+    # -- a restarted member -----------------------------------------------------------------------
+
+    async def nobody_leads(self) -> bool:
+        """Whether every other member says that it does not lead; no answer says nothing."""
+        said = await asyncio.gather(*(self._leads(c) for c in self._peers.values()))
+        return not any(said)
+
+    async def _leads(self, client: Client) -> bool:
+        try:
+            answer = await client.request("GET", PING_PATH, timeout_s=_PROBE_S)
+            return wire.decode(answer.body, Presence).leads
+        except (NoAnswer, wire.Malformed):
+            return True
+
+    def presence(self) -> Presence:
+        return Presence(self._election.mine is not None)
+
     # -- the others' side -----------------------------------------------------------------------
 
     async def asked(self, request: Request) -> Answer:
--- a/tests/test_truce.py
+++ b/tests/test_truce.py
@@ -9,10 +9,12 @@
 import pytest
 
 from tealrill import settings, wire
+from tealrill.http import Answer as HttpAnswer
+from tealrill.http import NoAnswer
 from tealrill.state import election as election_module
 from tealrill.state.client import Committed, Failed, Refused, StateClient, Unknown
 from tealrill.state.election import LEADER_KEY, TERM_KEY, Election, KnownLeader, Leadership
-from tealrill.state.truce import PROMISE_S, Answer, Request, Truce
+from tealrill.state.truce import PROMISE_S, Answer, Presence, Request, Truce
 from tealrill.types import JobId, LeaseId, Revision, Steady, Token
 from tests.samples import SETTINGS
 
@@ -88,6 +90,34 @@
     assert _stand(_election(_State(), PROMISE_S), stamp=7)
 
 
+def test_a_restarted_member_stands_at_once_if_nobody_leads(clock: _Clock) -> None:
+    # All controllers crashed together, and the wait for the promise's end cost every task.
+    election = _election(_State(), PROMISE_S)
+    truce = _truce(_State(), election, clock)
+    said: dict[str, NoAnswer | bytes] = {"answer": NoAnswer("refused", False, refused=True)}
+
+    async def request(*_: object, timeout_s: float) -> HttpAnswer:
+        answer = said["answer"]
+        if isinstance(answer, NoAnswer):
+            raise answer
+        found = HttpAnswer()
+        found.body = answer
+        return found
+
+    for peer in truce._peers.values():
+        peer.request = request  # type: ignore[method-assign,assignment]
+    election.nobody_leads = truce.nobody_leads
+    assert not _stand(election)
+    said["answer"] = wire.encode(Presence(leads=True))
+    assert not _stand(election)
+    said["answer"] = wire.encode(Presence(leads=False))
+    # A promise of this very process still holds.
+    assert election.promise(Token(4), Steady(clock.now + 1.0)) == ""
+    assert not _stand(election)
+    clock.now = Steady(clock.now + 1.0)
+    assert _stand(election)
+
+
 @pytest.mark.parametrize(
     ("outcome", "promised"), [("unknown", False), ("refused", True), ("failed", True)]
 )
