--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -51,6 +51,14 @@
 _SILENCE_EVERY_S: Final = 0.5
 _RETRY_S: Final = 0.3
 _DIRECT_TIMEOUT_S: Final = 2.0
+_LOOK_UPS: Final = 8
+"""Look-ups under way at once while the records are read."""
+
+
+def _chunk_of(key: str) -> tuple[JobId | None, str]:
+    """The job and the number in a chunk's key."""
+    name, _, number = key.removeprefix(RUN_PREFIX).partition("/")
+    return parse_job_id(name), number
 
 
 class _JobRecord(msgspec.Struct):
@@ -138,9 +146,10 @@
                 chunks, _ = await self._client.scan(RUN_PREFIX)
                 for entry in jobs:
                     self._add_job(entry.key, entry.value, Revision(entry.version))
+                await self._load_over(chunks)
                 bindings: list[Binding] = []
                 for entry in chunks:
-                    bindings.extend(await self._load_chunk(entry))
+                    bindings.extend(self._load_chunk(entry))
                 break
             except StateError as error:
                 log.info("reading the records: %s", error)
@@ -172,13 +181,12 @@
         self.dispatcher.submitted(record.spec, steady_now())
         return self.book.add(record.spec, Wall(record.at), stamp)
 
-    async def _load_chunk(self, entry: wire.Entry) -> list[Binding]:
-        name, _, number = entry.key.removeprefix(RUN_PREFIX).partition("/")
-        job_id = parse_job_id(name)
+    def _load_chunk(self, entry: wire.Entry) -> list[Binding]:
+        job_id, number = _chunk_of(entry.key)
         if job_id is None or not number.isdigit():
             log.error("unknown record %s", entry.key)
             return []
-        job = self.book.jobs.get(job_id) or await self._load_over(job_id)
+        job = self.book.jobs.get(job_id)
         if job is None:
             self.book.garbage[entry.key] = Revision(entry.version)
             return []
@@ -188,15 +196,26 @@
             log.error("record %s", error)
             return []
 
-    async def _load_over(self, job_id: JobId) -> Job | None:
-        """A cancelled job whose tasks may still be on machines."""
-        over = await self._client.get(over_key(job_id))
-        if over is None or "spec" not in over.value:
-            return None
-        record = msgspec.convert(over.value, _JobRecord)
-        job = self.book.add(record.spec, Wall(0.0), Revision(over.version))
-        job.cancelled = True
-        return job
+    async def _load_over(self, chunks: list[wire.Entry]) -> None:
+        """Cancelled jobs whose tasks may still be on machines.
+
+        Chunks of jobs that are over wait for their removal. Looked up one after the other, a
+        hundred of them once held up a take-over for two seconds.
+        """
+        names = {job for job, _ in (_chunk_of(entry.key) for entry in chunks) if job is not None}
+        unknown = iter(sorted(names - self.book.jobs.keys()))
+        found: list[wire.KeyValue] = []
+
+        async def look_up() -> None:
+            for job_id in unknown:
+                over = await self._client.get(over_key(job_id))
+                if over is not None and "spec" in over.value:
+                    found.append(over)
+
+        await asyncio.gather(*(look_up() for _ in range(_LOOK_UPS)))
+        for over in found:
+            record = msgspec.convert(over.value, _JobRecord)
+            self.book.add(record.spec, Wall(0.0), Revision(over.version)).cancelled = True
 
     async def _watch_jobs(self, revision: Revision) -> None:
         while True:
