--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -123,7 +123,6 @@
             ready_at = now
         else:
             return None
-        running = [self._running(b, now) for b in machine.bindings.values()]
         return MachineView(
             machine.id,
             machine.type,
@@ -137,8 +136,7 @@
             max(0.01, kind.fetch_gb_per_s),
             set(machine.images),
             self._is_dear(machine.type, machine.spot),
-            running,
-            max((t.end_at for t in running), default=None),
+            [self._running(b, now) for b in machine.bindings.values()],
         )
 
     def _running(self, binding: Binding, now: Steady) -> RunningTask:
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -46,8 +46,6 @@
     dear: bool
     """Its kind costs much more per processor than the cheapest."""
     running: Sequence[RunningTask]
-    busy_until: Steady | None = None
-    """When its last task is expected to end."""
 
     def fits(self, job: JobView) -> bool:
         return (
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -99,27 +99,15 @@
         return most >= job.waiting and total >= job.waiting
 
     def _candidates(self, job: JobView) -> list[MachineView]:
-        """Cheap machines first, then small ones, with the image, busy for long enough, the fullest.
+        """Cheap machines first, then small ones, with the image, the fullest.
 
         Small tasks spread over large machines would leave no room in one piece for large tasks,
-        and only full machines let others become empty and go back. One long task on each of many
-        machines keeps them all, so a task goes where it does not make the machine's work longer.
+        and only full machines let others become empty and go back.
         """
-        end = self.now + job.estimate_s
-
         fitting = [m for m in self._usable(job, self.up) if m.fits(job) and m.allows(job)]
         if job.one_zone and not any(job.zone_counts.values()):
             fitting = self._best_zone(fitting)
-        fitting.sort(
-            key=lambda m: (
-                m.dear,
-                m.size,
-                job.image not in m.images,
-                m.busy_until is None or m.busy_until < end,
-                m.cpus,
-                m.id,
-            )
-        )
+        fitting.sort(key=lambda m: (m.dear, m.size, job.image not in m.images, m.cpus, m.id))
         return fitting
 
     def _usable(self, job: JobView, machines: list[MachineView]) -> list[MachineView]:
@@ -162,8 +150,6 @@
         if not backfilled:
             self.for_expected -= job.cpus
         machine.take(job)
-        end = Steady(self.now + job.estimate_s)
-        machine.busy_until = max(machine.busy_until or end, end)
         job.waiting -= 1
         job.zone_counts[machine.zone] = job.zone_counts.get(machine.zone, 0) + 1
         team = self.view.teams.get(job.team)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -314,15 +314,3 @@
     assert affordable([large, small], Policy(), {16.0: 640.0, 64.0: 64.0}, {}) == {small}
     assert affordable([large, small], Policy(), {16.0: 64.0, 64.0: 640.0}, {}) == {large, small}
     assert affordable([job_view("open-1")], Policy(), {64.0: 640.0}, {}) == set()
-
-
-def test_a_task_goes_where_it_does_not_keep_the_machine_for_longer() -> None:
-    # One long task on each of many machines kept the whole fleet through the last minutes.
-    soon = [running_task("run-1", end_at=Steady(NOW + 5))]
-    later = [running_task("run-2", cpus=2.0, end_at=Steady(NOW + 90))]
-    machines = [
-        machine_view("m-1", cpus=4.0, running=soon, busy_until=Steady(NOW + 5)),
-        machine_view("m-2", cpus=6.0, running=later, busy_until=Steady(NOW + 90)),
-    ]
-    job = job_view("job-1", waiting=1, estimate_s=60.0)
-    assert [s.machine for s in plan(View(machines, [job], {}), NOW, Policy()).starts] == ["m-2"]
