--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -265,3 +265,14 @@
     assert [reply.status for reply in _submit_all(_Throttled(busy=2), 1)] == [201]
     (reply,) = _submit_all(_Throttled(busy=99), 1)
     assert (reply.status, reply.retry_after_s) == (503, 1)
+
+
+def test_the_tasks_of_a_large_job_cost_a_key_for_each_chunk_and_not_one_each() -> None:
+    service = Service(0)
+    spec = wire.decode(orjson.dumps({**SUBMISSION, "pieces": 150}), wire.JobSpec)
+    job = service.book.add(spec, Wall(0.0), Revision(1))
+    for index in range(150):
+        service.book.bind(job, index, MachineId("m-1"), Session(1), "north", False, Wall(0.0), NOW)
+    batch = service.keeper._gather(NOW)
+    assert len(batch.changes) == len(job.chunks) == 2
+    assert not any(binding.committed for binding in job.bindings())
