One piece of code where there were two: levels, slots, allowed kinds, stops, clock drift

Read once more without changing what is done: queue.order and affordable walk the levels by one generator; capacity calls reservation.slots; machines and offers ask JobView.may_use; the machines under way are gathered once a pass; the election, promises and permits reckon with the clocks' drift in types.surely_until.

--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -91,7 +91,7 @@
             self._teams(),
             self._expected(now),
             self._book.rank_cpus,
-            self._cheap_coming(),
+            self._under_way(now),
         )
 
     def _expected(self, now: Steady) -> Expected | None:
@@ -250,20 +250,26 @@
             if binding is None:
                 continue
             log.info("stopping %s on %s for %s", stop.task, binding.machine, stop.for_job)
-            machine = self._fleet.machines.get(binding.machine)
-            if self._fleet.stop(binding, "preemption", stop.grace_s, now) and machine is not None:
-                told[machine] = None
-        for machine in told:
-            self._command_now(machine)
+            self._want_stopped(binding, "preemption", stop.grace_s, now, told)
+        self._tell(told)
 
     def cancel(self, job: Job, now: Steady) -> None:
         """Stops every task of a cancelled job; nothing that it still does is of use."""
         told: dict[Machine, None] = {}
         for binding in list(job.bindings()):
-            machine = self._fleet.machines.get(binding.machine)
-            if self._fleet.stop(binding, "cancelled", 0.0, now) and machine is not None:
-                told[machine] = None
-        for machine in told:
+            self._want_stopped(binding, "cancelled", 0.0, now, told)
+        self._tell(told)
+
+    def _want_stopped(
+        self, binding: Binding, reason: str, grace_s: float, now: Steady, told: dict[Machine, None]
+    ) -> None:
+        """Adds to `told` the machine that has to hear of it."""
+        machine = self._fleet.machines.get(binding.machine)
+        if self._fleet.stop(binding, reason, grace_s, now) and machine is not None:
+            told[machine] = None
+
+    def _tell(self, machines: dict[Machine, None]) -> None:
+        for machine in machines:
             self._command_now(machine)
 
     # -- the fleet ------------------------------------------------------------------------------
@@ -272,7 +278,7 @@
         offers = self._renter.offers
         if not offers:
             return
-        machines = view.machines + self._under_way(now)
+        machines = view.machines + view.coming
         available = self._renter.available(now)
         wanted = capacity.rentals(
             result.unplaced, machines, offers, available, now, self.policy, result.affordable
@@ -338,22 +344,13 @@
                 Steady(now + kind.boot_s),
                 kind.fetch_gb_per_s,
                 set(),
-                False,
+                self._is_dear(rental.type, rental.spot),
                 (),
             )
             # The views of one rental are alike and only read, so one stands for all.
             found += [view] * rental.count
         return found
 
-    def _cheap_coming(self) -> dict[float, float]:
-        """Processors of cheap machines that were asked for, by the size of one."""
-        coming: dict[float, float] = {}
-        for rental in self._renter.under_way():
-            kind = self._renter.type_of(rental.type)
-            if kind is not None and not self._is_dear(rental.type, rental.spot):
-                coming[kind.cpus] = coming.get(kind.cpus, 0.0) + rental.count * kind.cpus
-        return coming
-
     def _drain_noticed(self, now: Steady) -> None:
         """On a machine with notice, what can save and won't end in time saves at once."""
         for machine in self._machines():
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -234,7 +234,7 @@
                     if self._add_job(event.put, event.value, Revision(event.version)):
                         self.wake()
                 elif event.delete is not None:
-                    self._job_deleted(event.delete.removeprefix(JOB_PREFIX))
+                    self.job_cancelled(event.delete.removeprefix(JOB_PREFIX))
             revision = Revision(max(revision, result.revision))
 
     async def _compare_jobs(self) -> Revision:
@@ -245,15 +245,12 @@
             self._add_job(entry.key, entry.value, Revision(entry.version))
         for job in list(self.book.jobs.values()):
             if JOB_PREFIX + job.id not in keys:
-                self._job_deleted(job.id)
+                self.job_cancelled(job.id)
         self.wake()
         return revision
 
     def job_cancelled(self, name: str) -> None:
-        """Another node says that it has acknowledged a cancellation."""
-        self._job_deleted(name)
-
-    def _job_deleted(self, name: str) -> None:
+        """Its record is gone, or another node says that it has acknowledged the cancellation."""
         job = self.book.jobs.get(JobId(name))
         # A job that is being ended here is deleted by this leader itself; if its user was faster,
         # the transaction that ends it fails and finds out.
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from tealrill.scheduler.model import JobView, MachineView, Policy
+from tealrill.scheduler.reservation import slots
 from tealrill.types import Steady
 
 _SHORTEST_S: Final = 1.0
@@ -32,15 +33,11 @@
     fetch_gb_per_s: float
 
     def allows(self, job: JobView) -> bool:
-        return (
-            (job.spot or not self.spot)
-            and (job.zone is None or job.zone == self.zone)
-            and (job.types is None or self.type in job.types)
-        )
+        return job.may_use(self.type, self.zone, self.spot)
 
     def slots(self, job: JobView) -> int:
         """How many tasks of the job one such machine takes."""
-        return _slots(job, self.cpus, self.gpus, self.memory_gb)
+        return slots(job, self.cpus, self.gpus, self.memory_gb)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +48,6 @@
     count: int
 
 
-def _slots(job: JobView, cpus: float, gpus: float, memory_gb: float) -> int:
-    slots = job.tasks
-    for need, have in ((job.cpus, cpus), (job.gpus, gpus), (job.memory_gb, memory_gb)):
-        if need > 0:
-            slots = min(slots, int((have + 1e-6) // need))
-    return max(0, slots)
-
-
 @dataclass(slots=True, eq=False)
 class _Room:
     """Room that waiting tasks may count on, on a machine or on one about to be rented."""
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -55,11 +55,7 @@
         )
 
     def allows(self, job: JobView) -> bool:
-        return (
-            (job.spot or not self.spot)
-            and (job.zone is None or job.zone == self.zone)
-            and (job.types is None or self.type in job.types)
-        )
+        return job.may_use(self.type, self.zone, self.spot)
 
     def take(self, job: JobView) -> None:
         self.cpus -= job.cpus
@@ -98,6 +94,14 @@
     gang: bool = False
     """Its tasks start only when there is room for all that wait."""
 
+    def may_use(self, type_name: str, zone: str, spot: bool) -> bool:
+        """Whether the job allows a kind of machine."""
+        return (
+            (self.spot or not spot)
+            and (self.zone is None or self.zone == zone)
+            and (self.types is None or type_name in self.types)
+        )
+
     def zone_room(self, zone: str) -> int:
         """How many more of its tasks may be bound in a zone at this moment."""
         if self.one_zone and any(n for z, n in self.zone_counts.items() if z != zone):
@@ -154,8 +158,8 @@
     expected: Expected | None = None
     rank_cpus: dict[int, float] = field(default_factory=dict)
     """Processors that each urgency class uses."""
-    cheap_coming: dict[float, float] = field(default_factory=dict)
-    """Processors of cheap machines that were asked for and not yet granted, by size."""
+    coming: list[MachineView] = field(default_factory=list)
+    """Machines that were asked for and not yet granted."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -51,8 +51,8 @@
     def run(self) -> Plan:
         view = self.view
         fleet_cpus = sum(m.size for m in view.machines)
-        cheap = dict(view.cheap_coming)
-        for machine in view.machines:
+        cheap: dict[float, float] = {}
+        for machine in view.machines + view.coming:
             if not machine.dear:
                 cheap[machine.size] = cheap.get(machine.size, 0.0) + machine.size
         self.plan.affordable = affordable(view.jobs, self.policy, cheap, view.rank_cpus)
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -14,7 +14,7 @@
 
 import heapq
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from tealrill.scheduler.model import JobView, Policy, TeamView
 
@@ -35,16 +35,10 @@
     `rank_cpus` are the processors that each class uses now: what higher classes hold is taken to
     go on to the next of their kind.
     """
-    levels: dict[int, list[JobView]] = {}
-    for job in jobs:
-        levels.setdefault(level(job, policy), []).append(job)
     places: dict[JobView, tuple[int, int, float]] = {}
-    ahead = 0.0
-    for number in sorted(levels, reverse=True):
-        held = sum(cpus for rank, cpus in (rank_cpus or {}).items() if rank > number)
+    for number, peers, held, ahead in _levels(jobs, policy, rank_cpus or {}):
         cpus = max(fleet_cpus - held, 0.05 * fleet_cpus, 1e-6)
-        places.update(_level_order(levels[number], -number, cpus, ahead))
-        ahead += sum(_work(job) for job in levels[number])
+        places.update(_level_order(peers, -number, cpus, ahead))
 
     def key(job: JobView) -> tuple[int, tuple[int, int, float], float, str]:
         team = teams.get(job.team)
@@ -54,6 +48,20 @@
     return sorted(jobs, key=key)
 
 
+def _levels(
+    jobs: list[JobView], policy: Policy, rank_cpus: dict[int, float]
+) -> Iterator[tuple[int, list[JobView], float, float]]:
+    """From the highest level down: its jobs, what higher classes hold, and the work ahead of it."""
+    levels: dict[int, list[JobView]] = {}
+    for job in jobs:
+        levels.setdefault(level(job, policy), []).append(job)
+    ahead = 0.0
+    for number in sorted(levels, reverse=True):
+        held = sum(cpus for rank, cpus in rank_cpus.items() if rank > number)
+        yield number, levels[number], held, ahead
+        ahead += sum(_work(job) for job in levels[number])
+
+
 def affordable(
     jobs: list[JobView], policy: Policy, cheap: dict[float, float], rank_cpus: dict[int, float]
 ) -> set[JobView]:
@@ -80,18 +88,12 @@
     jobs: list[JobView], policy: Policy, cheap_cpus: float, rank_cpus: dict[int, float]
 ) -> set[JobView]:
     found: set[JobView] = set()
-    ahead = 0.0
-    levels: dict[int, list[JobView]] = {}
-    for job in jobs:
-        levels.setdefault(level(job, policy), []).append(job)
-    for number in sorted(levels, reverse=True):
-        held = sum(cpus for rank, cpus in rank_cpus.items() if rank > number)
+    for _, peers, held, ahead in _levels(jobs, policy, rank_cpus):
         cpus = policy.cheap_share * cheap_cpus - held
         if cpus <= 0:
             break
-        due = [j for j in levels[number] if j.latest_s and j.latest_s[0] > _spare_s(j)]
+        due = [j for j in peers if j.latest_s and j.latest_s[0] > _spare_s(j)]
         found |= _in_time(due, 0, cpus, ahead, _spare_s)
-        ahead += sum(_work(job) for job in levels[number])
     return found
 
 
@@ -117,8 +119,7 @@
             ahead += _work(job)
         left -= chosen
     for job in left:
-        late = len(job.latest_s) if job.latest_s else 0
-        places[job] = (number, late, math.inf)
+        places[job] = (number, len(job.latest_s), math.inf)
     return places
 
 
--- a/tealrill/state/deputy.py
+++ b/tealrill/state/deputy.py
@@ -22,14 +22,13 @@
 from tealrill.state.client import Committed, Refused, StateClient, StateError
 from tealrill.state.election import LEADER_KEY, Election, KnownLeader
 from tealrill.state.truce import PING_PATH
-from tealrill.types import ABSENT, Revision, Steady, Token, steady_now
+from tealrill.types import ABSENT, Revision, Steady, Token, steady_now, surely_until
 
 log = logging.getLogger(__name__)
 
 DEPUTY_PREFIX: Final = "deputy/"
 PERMIT_S: Final = 2.5
 """How long a node may act on a permit after it sent the write that confirmed it."""
-_DRIFT: Final = 0.999
 _MARGIN_S: Final = 0.1
 _EVERY_S: Final = 0.5
 _PING_TIMEOUT_S: Final = 0.7
@@ -139,7 +138,7 @@
             log.info("term %d: renews workers that the leader can't hear", leader.term)
         self._leader = leader
         self._confirmed_at = sent
-        self._valid_until = Steady(sent + PERMIT_S * _DRIFT - _MARGIN_S)
+        self._valid_until = surely_until(sent, PERMIT_S, _MARGIN_S)
 
 
 class Permits:
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -19,15 +19,13 @@
 
 from tealrill import wire
 from tealrill.state.client import Committed, Refused, Rejected, StateClient, StateError, Unknown
-from tealrill.types import ABSENT, LeaseId, Revision, Steady, Token, steady_now
+from tealrill.types import ABSENT, LeaseId, Revision, Steady, Token, steady_now, surely_until
 
 log = logging.getLogger(__name__)
 
 LEADER_KEY: Final = "leader"
 TERM_KEY: Final = "term"
 TTL_S: Final = 3.0
-_DRIFT: Final = 0.999
-"""Two clocks that each run up to 0.05% off differ by at most 0.1%."""
 _MARGIN_S: Final = 0.2
 _RENEW_S: Final = TTL_S / 4
 _WATCH_S: Final = 2.0
@@ -63,7 +61,7 @@
 
 
 def _validity(sent: Steady) -> Steady:
-    return Steady(sent + TTL_S * _DRIFT - _MARGIN_S)
+    return surely_until(sent, TTL_S, _MARGIN_S)
 
 
 class Election:
@@ -213,11 +211,10 @@
         # A key that this host's former process left is no other leader's, and a service without a
         # term has had no leader who could hold a promise.
         bound = stamp == ABSENT and last is not None
-        if bound and not await self._free_of_former_promises():
-            await asyncio.sleep(0.05)
-            return
-        if bound and steady_now() < self._promised_until:
-            # Looked at last of all: a promise may have been given while the above was awaited.
+        # Looked at last of all: a promise may have been given while the rest was awaited.
+        if bound and (
+            not await self._free_of_former_promises() or steady_now() < self._promised_until
+        ):
             await asyncio.sleep(0.05)
             return
         self._standing = term
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -135,10 +135,8 @@
             result = await self._commit_accepted(guards, [wire.put(job_key(job_id), record)])
         except Rejected as error:
             return Reply(400, {"error": f"the state service can't keep it: {error}"})
-        except Busy as error:
-            return self._refuse(job_id, str(error), elsewhere=False)
         except Refused as error:
-            return self._refuse(job_id, str(error))
+            return self._refuse(job_id, str(error), elsewhere=not isinstance(error, Busy))
         except Unknown:
             # It may be kept or may yet be: only what can be read back is accepted.
             return await self._known(job_id) or self._refuse(job_id, "not confirmed")
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -19,7 +19,7 @@
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import StateClient, StateError
 from tealrill.state.election import Leadership
-from tealrill.types import JobId, Revision, Steady, Token, steady_now
+from tealrill.types import JobId, Revision, Steady, Token, steady_now, surely_until
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +27,6 @@
 """How long a promise holds on the clock of the member that gives it."""
 TRUCE_PATH: Final = "/peer/truce"
 PING_PATH: Final = "/peer/ping"
-_DRIFT: Final = 0.999
 _MARGIN_S: Final = 0.2
 _ASK_EVERY_S: Final = 0.7
 _ASK_TIMEOUT_S: Final = 0.6
@@ -133,7 +132,7 @@
         been elected, and promises given afterwards would not undo that.
         """
         if mine.valid(self._now()):
-            until = Steady(sent + PROMISE_S * _DRIFT - _MARGIN_S)
+            until = surely_until(sent, PROMISE_S, _MARGIN_S)
             mine.valid_until = max(mine.valid_until, until)
 
     async def _ask(self, client: Client, request: Request) -> Answer:
--- a/tealrill/types.py
+++ b/tealrill/types.py
@@ -59,6 +59,14 @@
     return None if job_id is None else TaskId(job_id, int(index))
 
 
+def surely_until(since: Steady, length_s: float, margin_s: float) -> Steady:
+    """Until when something that another clock measures has certainly not ended.
+
+    Two clocks that each run up to 0.05% off differ by at most 0.1%.
+    """
+    return Steady(since + length_s * 0.999 - margin_s)
+
+
 def steady_now() -> Steady:
     return Steady(time.monotonic())
 
