--- a/tests/standins.py
+++ b/tests/standins.py
@@ -169,7 +169,10 @@
     def post(self) -> None:
         message = self.body()
         names = []
-        for _ in range(message["howMany"]):
+        room = max(0, self.standin.most - self.standin.rented)
+        if room == 0:
+            return self.answer(503, {"error": "no capacity"})
+        for _ in range(min(message["howMany"], room)):
             self.standin.rented += 1
             name = f"m-{self.standin.rented:06d}"
             self.standin.machines[name] = {
@@ -177,7 +180,7 @@
                 "loaners": message["loaners"], "status": "starting", "ageS": 0.0,
             }  # fmt: skip
             names.append(name)
-        self.answer(200, {"kilns": names})
+        return self.answer(200, {"kilns": names})
 
 
 class _Release(_Handler):
@@ -188,7 +191,7 @@
 
 
 class Cloud(Standin):
-    """The cloud, with one kind of machine and no end of it."""
+    """The cloud, with one kind of machine and at most `most` of it."""
 
     routes = ((r"/catalog", _Catalogue), (r"/hosts/release", _Release), (r"/hosts", _Hosts))
 
@@ -196,6 +199,7 @@
         super().__init__()
         self.machines: dict[str, dict[str, Any]] = {}
         self.rented = 0
+        self.most = 1000
 
 
 class _Orders(_Handler):
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,183 @@
+"""A load for profiling one node: stand-ins for the state service, the cloud, workers and users.
+
+It runs beside the node, in a process of its own, so that a profiler on the node sees the node
+alone. Everything stays on the loopback address. README.md says how to use it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import click
+
+from tealrill.http import Client, NoAnswer
+from tealrill.settings import Address
+from tests import standins
+
+_REPORT_S = 1.0
+_LEASE_S = 10.0
+
+
+class _Worker(standins.Worker):
+    """A machine whose tasks end by themselves and that reports over a kept connection."""
+
+    def __init__(self, name: str, luck: random.Random) -> None:
+        super().__init__(name)
+        self._luck = luck
+        self._changed = asyncio.Event()
+        self._running: set[str] = set()
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        super().execute(orders)
+        for name, line in self.tasks.items():
+            if line["status"] == "running" and name not in self._running:
+                self._running.add(name)
+                asyncio.get_running_loop().call_later(
+                    self._luck.uniform(10, 40), self._finish, name
+                )
+
+    def _finish(self, name: str) -> None:
+        if name in self.tasks and self.tasks[name]["status"] == "running":
+            self.end(name, "done")
+            self._changed.set()
+
+    async def run(self, node: Address) -> None:
+        client = Client(node, most=1)
+        await asyncio.sleep(self._luck.uniform(0, 10))
+        while True:
+            self._changed.clear()
+            body = json.dumps(self.report()).encode()
+            try:
+                answer = await client.request("POST", "/agent/beat", body, 4.0)
+            except NoAnswer:
+                await asyncio.sleep(1.0)
+                continue
+            if answer.status == 200:
+                self._take(json.loads(answer.body))
+            try:
+                async with asyncio.timeout(_REPORT_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    def _take(self, message: dict[str, Any]) -> None:
+        if message["baton"] > self.token:
+            self.token = message["baton"]
+            self._changed.set()
+        if message["baton"] == self.token:
+            self.execute(message["orders"])
+
+
+def _settings(state: standins.State, cloud: standins.Cloud) -> dict[str, Any]:
+    return {
+        "host_name": "node-0",
+        "zone": "north",
+        "client_listen": "127.0.0.1:18080",
+        "cluster_listen": "127.0.0.1:18081",
+        "members": [],
+        "services": {"cloud": cloud.address, "state": state.address},
+        "params": {
+            "zones": ["north"],
+            "teams": [{"name": "red"}, {"name": "blue"}],
+            "objectives": [
+                {"kind": "wait", "class": "quick", "within_s": 2.0, "share": 0.9},
+                {"kind": "deadline", "class": "long", "times": 1.0, "share": 0.9},
+            ],
+            "workers": {"report_s": _REPORT_S, "lease_s": _LEASE_S, "cancel_s": 30.0},
+            "state": {"rps": 250.0, "write_rps": 40.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 4.0, "list_lag_s": 2.0},
+        },
+    }
+
+
+def _job(number: int, luck: random.Random) -> dict[str, Any]:
+    quick = luck.random() < 0.6
+    return {
+        "id": f"wk-{number:06d}",
+        "lineup": "quick" if quick else "long",
+        "crew": luck.choice(["red", "blue"]),
+        "shape": "sweep",
+        "urgency": "urgent" if quick else "standard",
+        "pieces": luck.randint(10, 80),
+        "vcpus": 1.0 if quick else 2.0,
+        "gpus": 0.0,
+        "memoryGb": 1.0,
+        "bundle": f"img-{luck.randint(0, 7):02d}",
+        "sizeGb": 1.0,
+        "builds": None,
+        "hall": None,
+        "samePlace": False,
+        "scatter": False,
+        "loaners": True,
+        "guessS": 25.0,
+        "snapshotS": 0.0,
+        "flushS": 0.0,
+        "dueS": None if quick else 120.0,
+    }
+
+
+async def _submit(node: Address, rate: float, first: int, luck: random.Random) -> None:
+    client = Client(node, most=4)
+    number = 0
+
+    async def send(body: bytes) -> None:
+        for _ in range(5):
+            try:
+                if (await client.request("POST", "/v2/runs", body, 4.0)).status in (200, 201):
+                    return
+            except NoAnswer:
+                pass
+            await asyncio.sleep(1.0)
+
+    under_way: set[asyncio.Task[None]] = set()
+    while True:
+        number += 1
+        task = asyncio.create_task(send(json.dumps(_job(number, luck)).encode()))
+        under_way.add(task)
+        task.add_done_callback(under_way.discard)
+        if number > first:
+            await asyncio.sleep(luck.expovariate(rate))
+
+
+async def _run(machines: int, rate: float, first: int, settings: Path, for_s: float) -> None:
+    luck = random.Random(1)
+    state, cloud = standins.State(), standins.Cloud()
+    settings.write_text(json.dumps(_settings(state, cloud)))
+    node = Address("127.0.0.1", 18080)
+    workers = [_Worker(f"m-{n:06d}", luck) for n in range(1, machines + 1)]
+    for worker in workers:
+        cloud.machines[worker.name] = {
+            "id": worker.name, "addr": worker.address, "build": "big", "hall": "north",
+            "loaners": True, "status": "running", "ageS": 0.0,
+        }  # fmt: skip
+    cloud.rented = cloud.most = machines
+    tasks = [asyncio.create_task(worker.run(node)) for worker in workers]
+    tasks.append(asyncio.create_task(_submit(node, rate, first, luck)))
+    for second in range(round(for_s)):
+        await asyncio.sleep(1.0)
+        if second % 10 == 9:
+            running = sum(
+                t["status"] == "running" for worker in workers for t in worker.tasks.values()
+            )
+            click.echo(f"{second + 1} s: {running} tasks run, {state.epoch} transactions")
+    for task in tasks:
+        task.cancel()
+
+
+@click.command()
+@click.option("--machines", default=330, show_default=True, help="Workers that report.")
+@click.option("--rate", default=1.0, show_default=True, help="Jobs submitted a second.")
+@click.option("--first", default=50, show_default=True, help="Jobs submitted at once.")
+@click.option("--for-s", default=60.0, show_default=True, help="How long the load lasts.")
+@click.option("--settings", default="/tmp/load.json", type=click.Path(path_type=Path))
+def main(machines: int, rate: float, first: int, for_s: float, settings: Path) -> None:
+    """Writes a settings file for the node, then loads it."""
+    asyncio.run(_run(machines, rate, first, settings, for_s))
+
+
+if __name__ == "__main__":
+    main()
