Reports are answered from tornado's connection; held bodies are bounded

Before, 500 sockets times 1 MiB of body had no bound; now what all requests hold is at most a tenth of the machine's memory, for reports and for the rest.

--- /dev/null
+++ b/tealrill/api/front.py
@@ -0,0 +1,204 @@
+"""What stands before the handlers: workers' reports, large bodies, idle connections.
+
+Nine of ten requests are reports, several hundred a second on a share of a core. Routed through
+tornado's application, each would cost several times what its content does; so they are answered
+here, from tornado's own connection. Everything else goes on to the application.
+
+Bodies are held in memory until they are complete. Many large ones side by side, up to the number of
+sockets, would take more memory than the machine has, so what all of them hold is bounded: past that
+a request is read to its end, dropped piece by piece, and answered 503.
+"""
+
+from __future__ import annotations
+
+import http
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from tornado import httpserver, httputil
+
+from tealrill import wire
+from tealrill.types import MachineId, Steady, parse_machine_id, steady_now
+
+ReportAnswer = tuple[int, dict[str, Any]]
+TakeReport = Callable[[wire.Report, MachineId], ReportAnswer]
+
+_IDLE_S: Final = 600.0
+"""A connection on which no request begins for so long is closed: a machine that lost its power
+never closes its own."""
+_MAX_RECEIVED: Final = 1024 * 1024
+"""Larger bodies than the protocol allows are read up to here, so that they get a JSON answer."""
+_PIECE: Final = 16 * 1024
+"""Most that a connection's own buffer takes from the network at once."""
+
+
+class Held:
+    """Bytes of bodies that are held at this moment, out of a bound."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._now = 0
+
+    def take(self, size: int) -> bool:
+        if self._now + size > self._most:
+            return False
+        self._now += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        self._now -= size
+
+
+def answer(
+    connection: httputil.HTTPConnection, status: int, body: Any, retry_after_s: int | None = None
+) -> None:
+    """Writes a whole JSON response."""
+    content = wire.encode(body)
+    headers = httputil.HTTPHeaders(
+        {"Content-Type": "application/json", "Content-Length": str(len(content))}
+    )
+    if retry_after_s is not None:
+        headers["Retry-After"] = str(retry_after_s)
+    line = httputil.ResponseStartLine("", status, http.HTTPStatus(status).phrase)
+    connection.write_headers(line, headers, content)
+    connection.finish()
+
+
+class Front(httputil.HTTPServerConnectionDelegate):
+    """Takes every request of a server; `take_report` answers workers, `application` the rest."""
+
+    def __init__(
+        self,
+        application: httputil.HTTPServerConnectionDelegate,
+        most_held: int,
+        take_report: TakeReport | None = None,
+    ) -> None:
+        self.application = application
+        self.take_report = take_report
+        self.reports = Held(most_held)
+        self.others = Held(most_held)
+        """Apart, so that a flood of users' bodies keeps no worker from its lease."""
+        self._requests: dict[Any, _Request] = {}
+        """Per connection its last request, or the one that has not begun."""
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        # Called when the one before is answered: until then its handler holds its body.
+        self.on_close(server_conn)
+        request = self._requests[server_conn] = _Request(self, server_conn, request_conn)
+        return request
+
+    def on_close(self, server_conn: object) -> None:
+        request = self._requests.pop(server_conn, None)
+        if request is not None:
+            request.give_back()
+
+    @property
+    def connections(self) -> int:
+        return len(self._requests)
+
+    async def close_idle(self, now: Steady) -> None:
+        """tornado's own time-out would set a timer for every request."""
+        for connection, request in list(self._requests.items()):
+            if not request.began and now - request.since > _IDLE_S:
+                await connection.close()
+
+
+class Server(httpserver.HTTPServer):
+    """tornado's server, which does not tell its delegate that a connection is gone."""
+
+    def __init__(self, front: Front) -> None:
+        super().__init__(front, max_body_size=_MAX_RECEIVED, chunk_size=_PIECE)
+        self._front = front
+        self.conn_params.header_timeout = None
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self._front.on_close(server_conn)
+
+
+class _Request(httputil.HTTPMessageDelegate):
+    """One request: its body is collected here, then answered or handed on in one piece."""
+
+    def __init__(
+        self, front: Front, server_conn: object, connection: httputil.HTTPConnection
+    ) -> None:
+        self.since = steady_now()
+        self.began = False
+        self._front = front
+        self._server_conn = server_conn
+        self._connection = connection
+        self._next: httputil.HTTPMessageDelegate | None = None
+        """What answers it; None for a report."""
+        self._held = front.reports
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._refusal: tuple[int, str, int | None] | None = None
+        """Why the body is being dropped: status, error, and when to come again."""
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        self.began = True
+        assert isinstance(start_line, httputil.RequestStartLine)
+        if (
+            self._front.take_report is not None
+            and start_line.path == wire.REPORT_PATH
+            and start_line.method == "POST"
+        ):
+            return None
+        self._held = self._front.others
+        self._next = self._front.application.start_request(self._server_conn, self._connection)
+        return self._next.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._refusal is not None:
+            return None
+        if self._next is None and self._size + len(chunk) > wire.MAX_BODY:
+            self._refusal = (400, "the body is larger than 64 KiB", None)
+        elif not self._held.take(len(chunk)):
+            # Whether the job was accepted before can't be told without its id: no 400.
+            self._refusal = (503, "too much at once", 1)
+        else:
+            self._size += len(chunk)
+            self._chunks.append(chunk)
+            return None
+        self.give_back()
+        return None
+
+    def give_back(self) -> None:
+        self._held.give_back(self._size)
+        self._size = 0
+        self._chunks.clear()
+
+    def finish(self) -> None:
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        if self._refusal is not None:
+            status, error, retry_after_s = self._refusal
+            answer(self._connection, status, {"error": error}, retry_after_s)
+        elif self._next is None:
+            answer(self._connection, *self._report(body))
+        else:
+            if body:
+                self._next.data_received(body)
+            self._next.finish()
+
+    def on_connection_close(self) -> None:
+        if self._next is not None:
+            self._next.on_connection_close()
+
+    def _report(self, body: bytes) -> ReportAnswer:
+        take_report = self._front.take_report
+        assert take_report is not None
+        try:
+            report = wire.decode(body, wire.Report)
+        except wire.Malformed as error:
+            return 400, {"error": str(error)}
+        machine_id = parse_machine_id(report.machine)
+        if machine_id is None:
+            return 400, {"error": "malformed machine id - at `$.kiln`"}
+        return take_report(report, machine_id)
--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -7,15 +7,15 @@
 import os
 from typing import Any, Final
 
-from tornado import httpserver, web
+from tornado import web
 
 from tealrill import wire
 from tealrill.api.admin import AdminStateHandler
 from tealrill.api.base import NotFound, no_access_log
+from tealrill.api.front import Front, Server
 from tealrill.api.peers import PingHandler, TruceHandler
 from tealrill.api.relay import PEER_PREFIX, Relay, Users
 from tealrill.api.users import CancelHandler, HealthHandler, JobHandler, JobsHandler
-from tealrill.api.workers import ReportHandler
 from tealrill.fleet.cloud import Cloud, CloudError
 from tealrill.leader import Leader
 from tealrill.scheduler.estimates import Estimates
@@ -29,8 +29,9 @@
 
 log = logging.getLogger(__name__)
 
-_MAX_RECEIVED: Final = 1024 * 1024
-"""Larger bodies than the protocol allows are read up to here, so that they get a JSON answer."""
+_HELD_PART: Final = 0.1
+"""The part of the machine's memory that held bodies may take, reports and others each."""
+_CLOSE_IDLE_S: Final = 30.0
 _CATALOGUE_RETRY_S: Final = 2.0
 _CATALOGUE_EVERY_S: Final = 300.0
 _RESIGN_PAUSE_S: Final = 10.0
@@ -62,6 +63,7 @@
         self._truce.seen = lambda: self.leader.seen if self.leader is not None else Revision(0)
         self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
+        self._fronts: list[Front] = []
 
     # -- running --------------------------------------------------------------------------------
 
@@ -74,13 +76,13 @@
             group.create_task(self._terms())
             group.create_task(self._fetch_catalogue())
             group.create_task(self._check_hearing())
+            group.create_task(self._close_idle())
 
     def _listen(self) -> None:
         relay = Relay(self.intake, self._settings, lambda: self._client.failing)
         users: list[Any] = [
             *_user_rules("", relay),
             (wire.HEALTH_PATH, HealthHandler, {"healthy": lambda: True}),
-            (wire.REPORT_PATH, ReportHandler, {"take_report": self.take_report}),
         ]
         operators: list[Any] = [
             (r"/admin/state", AdminStateHandler, {"node": self}),
@@ -88,20 +90,26 @@
             (PING_PATH, PingHandler, {"truce": self._truce}),
             *_user_rules(PEER_PREFIX, self.intake),
         ]
-        for rules, where in (
-            (users, self._settings.client_listen),
-            (operators, self._settings.cluster_listen),
+        most_held = int(_HELD_PART * self._settings.params.quota.ram_mb * 1024 * 1024)
+        for rules, where, take_report in (
+            (users, self._settings.client_listen, self.take_report),
+            (operators, self._settings.cluster_listen, None),
         ):
             application = web.Application(
                 rules, default_handler_class=NotFound, log_function=no_access_log
             )
-            server = httpserver.HTTPServer(
-                application, max_body_size=_MAX_RECEIVED, idle_connection_timeout=600
-            )
+            front = Front(application, most_held, take_report)
+            self._fronts.append(front)
             address = parse_address(where)
-            server.listen(address.port, address.host)
+            Server(front).listen(address.port, address.host)
         log.info("%s listens on %s", self._settings.host_name, self._settings.client_listen)
 
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(_CLOSE_IDLE_S)
+            for front in self._fronts:
+                await front.close_idle(steady_now())
+
     async def _terms(self) -> None:
         """Runs a `Leader` for as long as the election says so."""
         while True:
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,131 @@
+"""What stands before the handlers: reports take the short way, bodies and idle connections are
+bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import orjson
+import pytest
+from tornado import netutil, web
+
+from tealrill import wire
+from tealrill.api import front
+from tealrill.http import Answer, Client
+from tealrill.settings import Address
+from tealrill.types import MachineId, Steady, steady_now
+from tests.standins import Worker
+
+_MOST = 200_000
+
+
+class _Slow(web.RequestHandler):
+    """Answers once it is let go."""
+
+    def initialize(self, world: Any) -> None:
+        self.world = world
+
+    async def post(self) -> None:
+        self.world.sizes.append(len(self.request.body))
+        await self.world.go.wait()
+        self.finish({})
+
+
+class _World:
+    def __init__(self) -> None:
+        self.sizes: list[int] = []
+        self.go = asyncio.Event()
+        self.reports: list[MachineId] = []
+        application = web.Application([(r"/slow", _Slow, {"world": self})])
+        self.front = front.Front(application, _MOST, self._take_report)
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        self.address = Address("127.0.0.1", sockets[0].getsockname()[1])
+        self.server = front.Server(self.front)
+        self.server.add_sockets(sockets)
+
+    def _take_report(self, report: wire.Report, machine: MachineId) -> front.ReportAnswer:
+        self.reports.append(machine)
+        return 200, wire.report_answer(4, [])
+
+    def send(self, path: str, body: bytes) -> asyncio.Task[Answer]:
+        return asyncio.create_task(Client(self.address).request("POST", path, body, 20.0))
+
+
+@contextlib.asynccontextmanager
+async def _running() -> AsyncIterator[_World]:
+    world = _World()
+    yield world
+    world.go.set()
+    world.server.stop()
+    await world.server.close_all_connections()
+
+
+def test_a_report_is_answered_without_the_application(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with _running() as world:
+            monkeypatch.setattr(world.front.application, "start_request", None)
+            body = orjson.dumps(Worker("m-000001").report())
+            client = Client(world.address)
+            for _ in range(2):
+                answer = await client.request("POST", wire.REPORT_PATH, body)
+                assert (answer.status, orjson.loads(answer.body)["baton"]) == (200, 4)
+            assert world.reports == ["m-000001", "m-000001"]
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b'{"kiln": 7}', b" " * (wire.MAX_BODY + 1)],
+)
+def test_what_is_no_report_gets_400(body: bytes) -> None:
+    async def scenario() -> None:
+        async with _running() as world:
+            answer = await world.send(wire.REPORT_PATH, body)
+            assert answer.status == 400
+            assert orjson.loads(answer.body)["error"]
+            assert not world.reports
+
+    asyncio.run(scenario())
+
+
+def test_large_bodies_side_by_side_are_bounded() -> None:
+    """Held by hundreds of sockets at once, they would take more memory than the machine has."""
+
+    async def scenario() -> None:
+        async with _running() as world:
+            requests = [world.send("/slow", b"x" * 60_000) for _ in range(6)]
+            while sum(request.done() for request in requests) < 3:
+                await asyncio.sleep(0.01)
+            assert [r.result().status for r in requests if r.done()] == [503] * 3
+            assert world.sizes == [60_000] * 3
+            # A worker's report is taken all the same.
+            body = orjson.dumps(Worker("m-000001").report())
+            assert (await world.send(wire.REPORT_PATH, body)).status == 200
+            world.go.set()
+            answers = await asyncio.gather(*requests)
+            assert sorted(a.status for a in answers) == [200] * 3 + [503] * 3
+            # Once they are answered, there is room again.
+            assert (await world.send("/slow", b"x" * 60_000)).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_connection_without_a_request_is_closed() -> None:
+    async def scenario() -> None:
+        async with _running() as world:
+            reader, writer = await asyncio.open_connection(*world.address)
+            busy = world.send("/slow", b"{}")
+            while not world.sizes or not world.front.connections >= 2:
+                await asyncio.sleep(0.01)
+            await world.front.close_idle(steady_now())
+            await world.front.close_idle(Steady(steady_now() + 1e4))
+            assert await reader.read() == b""
+            writer.close()
+            world.go.set()
+            assert (await busy).status == 200
+
+    asyncio.run(scenario())
