--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -42,6 +42,9 @@
 _LIKELY: Final = 0.7
 _MINIMUM_S: Final = 58.0
 _SILENT_RETURN_S: Final = 45.0
+RENT_EVERY_S: Final = 0.5
+"""A machine takes many times as long to boot, so wishes for more are worked out more rarely than
+placement: in an overload they are the dearest part of a pass."""
 
 
 class Dispatcher:
@@ -67,6 +70,9 @@
         self._prompt = {o.job_class for o in params.objectives if o.kind == "wait" and o.job_class}
         self._prompt_rank = 0
         self._prompt_at = Steady(0.0)
+        self._rent_at = Steady(-math.inf)
+        self.put_off = False
+        """A wish for machines waits for a pass soon after this one."""
         self.sizes = Sizes()
         self.policy = Policy()
         self.last: Plan = Plan()
@@ -276,8 +282,10 @@
 
     def _rent(self, result: Plan, view: View, now: Steady) -> None:
         offers = self._renter.offers
-        if not offers:
+        self.put_off = now < self._rent_at and bool(result.unplaced)
+        if not offers or now < self._rent_at:
             return
+        self._rent_at = Steady(now + RENT_EVERY_S)
         machines = view.machines + view.coming
         available = self._renter.available(now)
         wanted = capacity.rentals(
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -11,7 +11,7 @@
 
 from tealrill import wire
 from tealrill.fleet.cloud import Cloud
-from tealrill.fleet.dispatch import Dispatcher
+from tealrill.fleet.dispatch import RENT_EVERY_S, Dispatcher
 from tealrill.fleet.machines import Finished, Fleet, Machine, NewerToken
 from tealrill.fleet.rental import Renter
 from tealrill.http import Client, NoAnswer
@@ -295,8 +295,9 @@
                 self.dispatcher.run(steady_now(), wall_now())
                 self.keeper.wake()
             await asyncio.sleep(_PASS_GAP_S)
+            pause_s = RENT_EVERY_S if self.dispatcher.put_off else _PASS_EVERY_S
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_PASS_EVERY_S - _PASS_GAP_S):
+                async with asyncio.timeout(pause_s - _PASS_GAP_S):
                     await self._wake.wait()
 
     async def _silences(self) -> None:
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -48,29 +48,24 @@
     count: int
 
 
+Kind = tuple[str, str, bool]
+"""Type, zone, spot."""
+
+
 @dataclass(slots=True, eq=False)
 class _Room:
     """Room that waiting tasks may count on, on a machine or on one about to be rented."""
 
-    of: MachineView | Offer
-    cpus: float
-    memory_gb: float
-    gpus: float
+    kind: Kind
     free: list[tuple[Steady, float]]
     """Processors that come free, and when."""
     used_cpu_s: float = 0.0
 
-    def lay(self, job: JobView, most: int, until: Steady) -> int:
-        """Lays up to `most` tasks of the job here that can start by `until`; how many fitted.
+    def lay(self, need: float, run_s: float, most: int, until: Steady) -> int:
+        """Lays up to `most` tasks here that can start by `until`; how many fitted.
 
         One processor may serve several tasks one after the other.
         """
-        if most <= 0 or not self.of.allows(job):
-            return 0
-        need = self._need(job)
-        if need <= 0:
-            return most
-        run_s = max(_SHORTEST_S, job.estimate_s)
         supply = 0.0
         for at, cpus in self.free:
             if at <= until:
@@ -79,29 +74,61 @@
         self.used_cpu_s += laid * need * run_s
         return laid
 
-    def _need(self, job: JobView) -> float:
-        """The task's part of the machine, in processors; 0 if it takes none of it."""
-        part = 0.0
-        for need, have in (
-            (job.cpus, self.cpus),
-            (job.memory_gb, self.memory_gb),
-            (job.gpus, self.gpus),
-        ):
-            if need > 0:
-                part = max(part, need / have if have > 0 else 2.0)
-        return part * max(self.cpus, 1e-6)
 
+class _Needs:
+    """A task's part of each kind of machine, in processors; None where it may not run.
+
+    Asked for every room, so it is worked out once for a kind.
+    """
 
-def _room(machine: MachineView, size: Offer, now: Steady) -> _Room:
+    def __init__(self, job: JobView, sizes: dict[str, Offer]) -> None:
+        self._job = job
+        self._sizes = sizes
+        self._known: dict[Kind, float | None] = {}
+
+    def on(self, kind: Kind) -> float | None:
+        if kind not in self._known:
+            job, size = self._job, self._sizes[kind[0]]
+            self._known[kind] = _part(job, size) if job.may_use(*kind) else None
+        return self._known[kind]
+
+
+def _part(job: JobView, size: Offer) -> float:
+    """The task's part of a machine, in processors; 0 if it takes none of it."""
+    part = 0.0
+    for need, have in (
+        (job.cpus, size.cpus),
+        (job.memory_gb, size.memory_gb),
+        (job.gpus, size.gpus),
+    ):
+        if need > 0:
+            part = max(part, need / have if have > 0 else 2.0)
+    return part * max(size.cpus, 1e-6)
+
+
+def _lay(job: JobView, most: int, rooms: Iterable[_Room], needs: _Needs, until: Steady) -> int:
+    """Lays up to `most` tasks of the job on the rooms; how many fitted."""
+    run_s = max(_SHORTEST_S, job.estimate_s)
+    left = most
+    for room in rooms:
+        if left <= 0:
+            break
+        need = needs.on(room.kind)
+        if need is not None:
+            left -= room.lay(need, run_s, left, until) if need > 0 else left
+    return most - left
+
+
+def _room(machine: MachineView, now: Steady) -> _Room:
     """A machine's free room now (or once it is up) and as its tasks end."""
     free = [(max(now, machine.ready_at), max(0.0, machine.cpus))]
     free += [(now if t.stopping else t.end_at, t.cpus) for t in machine.running]
-    return _Room(machine, size.cpus, size.memory_gb, size.gpus, free)
+    return _Room((machine.type, machine.zone, machine.spot), free)
 
 
 def _new_room(offer: Offer, now: Steady) -> _Room:
     up_at = Steady(now + offer.boot_s)
-    return _Room(offer, offer.cpus, offer.memory_gb, offer.gpus, [(up_at, offer.cpus)])
+    return _Room((offer.type, offer.zone, offer.spot), [(up_at, offer.cpus)])
 
 
 def _price(job: JobView, left: int, offer: Offer) -> float:
@@ -142,8 +169,12 @@
     Of the `catalogue`, only what is `available` was not refused a short while ago. Machines much
     dearer than the cheapest are rented only for jobs that are not `affordable` without them.
     """
+    if not available or not unplaced:
+        # The fleet is as large as the cloud lets it be: what fits where makes no difference.
+        return []
+    at_hand = frozenset(available)
     sizes = {offer.type: offer for offer in catalogue}
-    rooms = [_room(m, sizes[m.type], now) for m in machines if m.type in sizes]
+    rooms = [_room(m, now) for m in machines if m.type in sizes]
     counts: dict[tuple[str, str], int] = {}
     for machine in machines:
         where = (machine.type, machine.zone)
@@ -154,15 +185,14 @@
         if not fitting:
             continue
         lowest = min(_price(job, waiting, o) for o in fitting)
-        ready = [o for o in fitting if o in available]
+        ready = [o for o in fitting if o in at_hand]
         cheap = [o for o in ready if _price(job, waiting, o) <= policy.dear * lowest]
         wait_s = min(o.boot_s for o in fitting)
         if not cheap and job in affordable:
             # Only dear machines are to be had: room that comes by the latest start will do.
             wait_s = max(wait_s, job.latest_s[0])
-        left = waiting
-        for room in rooms:
-            left -= room.lay(job, left, Steady(now + wait_s))
+        needs = _Needs(job, sizes)
+        left = waiting - _lay(job, waiting, rooms, needs, Steady(now + wait_s))
         if not cheap and job in affordable:
             continue
         while left > 0:
@@ -170,7 +200,7 @@
             if offer is None:
                 break
             room = _new_room(offer, now)
-            laid = room.lay(job, left, Steady(now + max(wait_s, offer.boot_s)))
+            laid = _lay(job, left, (room,), needs, Steady(now + max(wait_s, offer.boot_s)))
             if laid <= 0:
                 break
             left -= laid
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,7 +8,7 @@
 
 from tealrill import settings, wire
 from tealrill.fleet.cloud import Cloud
-from tealrill.fleet.dispatch import Dispatcher
+from tealrill.fleet.dispatch import RENT_EVERY_S, Dispatcher
 from tealrill.fleet.machines import Fleet
 from tealrill.fleet.rental import Renter
 from tealrill.scheduler.estimates import Estimates
@@ -64,3 +64,16 @@
     for chunk in job.chunks.values():
         chunk.committed = chunk.version
     assert len(fleet.direct_starts(machine)) == 2
+
+
+def test_a_wish_for_machines_that_was_put_off_brings_another_pass_soon() -> None:
+    """The reckoning is not made in every pass, and a burst must not wait for the next idle one."""
+    dispatcher, _, book, renter = _dispatcher()
+    book.add(spec(vcpus=32.0), Wall(0.0), Revision(1))
+    dispatcher.run(Steady(0.0), Wall(0.0))
+    asked = renter.asked
+    book.add(spec(id="wk-000413", vcpus=32.0), Wall(0.0), Revision(2))
+    dispatcher.run(Steady(0.1), Wall(0.1))
+    assert dispatcher.put_off and renter.asked == asked
+    dispatcher.run(Steady(RENT_EVERY_S), Wall(RENT_EVERY_S))
+    assert not dispatcher.put_off and renter.asked > asked
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tealrill.scheduler import capacity
 from tealrill.scheduler.capacity import Offer, rentals
 from tealrill.scheduler.estimates import Estimates
 from tealrill.scheduler.model import Expected, JobView, MachineView, Policy, TeamView, View
@@ -314,3 +316,22 @@
     assert affordable([large, small], Policy(), {16.0: 640.0, 64.0: 64.0}, {}) == {small}
     assert affordable([large, small], Policy(), {16.0: 64.0, 64.0: 640.0}, {}) == {large, small}
     assert affordable([job_view("open-1")], Policy(), {64.0: 640.0}, {}) == set()
+
+
+def test_what_waits_is_weighed_once_for_a_kind_of_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With a long queue, a full look at every machine for every job took half of all the leader's
+    time; and all of it for nothing while the cloud has no machine to give."""
+    counted: list[str] = []
+
+    def part(job: JobView, size: Offer) -> float:
+        counted.append(size.type)
+        return size.cpus
+
+    monkeypatch.setattr(capacity, "_part", part)
+    offer = Offer("big", "north", False, 8.0, 0.0, 64.0, 1.0, 20.0, 1.0)
+    machines = [machine_view(f"m-{n}", cpus=0.0) for n in range(300)]
+    waiting = [(job_view(f"wk-{n}", cpus=4.0, waiting=9), 9) for n in range(5)]
+    assert rentals(waiting, machines, [offer], [], NOW, Policy()) == []
+    assert not counted
+    assert rentals(waiting, machines, [offer], [offer], NOW, Policy())
+    assert len(counted) == len(waiting)
