--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -75,10 +75,14 @@
     """The planner has taken from its room, or given to it."""
 
     def fits(self, job: JobView) -> bool:
+        return self.has(job.cpus, job.gpus, job.memory_gb)
+
+    def has(self, cpus: float, gpus: float, memory_gb: float) -> bool:
+        """Whether so much is free."""
         return (
-            self.cpus + _SLACK >= job.cpus
-            and self.memory_gb + _SLACK >= job.memory_gb
-            and self.gpus + _SLACK >= job.gpus
+            self.cpus + _SLACK >= cpus
+            and self.memory_gb + _SLACK >= memory_gb
+            and self.gpus + _SLACK >= gpus
         )
 
     def allows(self, job: JobView) -> bool:
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -33,10 +33,22 @@
         self.policy = policy
         self.plan = Plan()
         self.up = [m for m in view.machines if m.ready_at <= now]
+        self.open = self._with_room()
         self.head: JobView | None = None
         self.windows: dict[MachineView, Window] = {}
         self.for_expected = self._room_for_expected()
 
+    def _with_room(self) -> list[MachineView]:
+        """Machines with room for the least that any waiting job needs.
+
+        Placing only takes from rooms. With a full fleet and a long queue, looking at every machine
+        for every job was most of what was left of a pass.
+        """
+        jobs = self.view.jobs
+        cpus = min((job.cpus for job in jobs), default=math.inf)
+        memory_gb = min((job.memory_gb for job in jobs), default=math.inf)
+        return [m for m in self.up if m.has(cpus, 0.0, memory_gb)]
+
     def _room_for_expected(self) -> float:
         """Processors that expected work could have at once: free ones, and stoppable backfill."""
         expected = self.view.expected
@@ -104,7 +116,7 @@
         Small tasks spread over large machines would leave no room in one piece for large tasks,
         and only full machines let others become empty and go back.
         """
-        fitting = [m for m in self._usable(job, self.up) if m.fits(job) and m.allows(job)]
+        fitting = [m for m in self._usable(job, self.open) if m.fits(job) and m.allows(job)]
         if job.one_zone and not any(job.zone_counts.values()):
             fitting = self._best_zone(fitting)
         fitting.sort(key=lambda m: (m.dear, m.size, job.image not in m.images, m.cpus, m.id))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -335,3 +335,21 @@
     assert not counted
     assert rentals(waiting, machines, [offer], [offer], NOW, Policy())
     assert len(counted) == len(waiting)
+
+
+def test_full_machines_are_looked_at_once_a_pass(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With a full fleet and a long queue, every job used to look at every machine."""
+    looked: list[MachineView] = []
+    has = MachineView.has
+
+    def counted(machine: MachineView, cpus: float, gpus: float, memory_gb: float) -> bool:
+        looked.append(machine)
+        return has(machine, cpus, gpus, memory_gb)
+
+    monkeypatch.setattr(MachineView, "has", counted)
+    machines = [machine_view(f"m-{n}", cpus=0.5) for n in range(100)]
+    machines.append(machine_view("m-free", cpus=2.0))
+    jobs = [job_view(f"wk-{n}", cpus=1.0 + n) for n in range(40)]
+    result = plan(View(machines, jobs, {}), NOW, Policy())
+    assert [start.machine for start in result.starts] == ["m-free"]
+    assert len(looked) < 2 * len(machines)
