--- a/tealrill/scheduler/preemption.py
+++ b/tealrill/scheduler/preemption.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from tealrill.scheduler.model import JobView, MachineView, RunningTask, TeamView
+from tealrill.scheduler.model import SLACK, JobView, MachineView, RunningTask, TeamView
 from tealrill.types import Steady
 
 
@@ -34,9 +34,9 @@
 
 def _enough(machine: MachineView, tasks: list[RunningTask], job: JobView) -> bool:
     return (
-        machine.cpus + sum(t.cpus for t in tasks) + 1e-6 >= job.cpus
-        and machine.memory_gb + sum(t.memory_gb for t in tasks) + 1e-6 >= job.memory_gb
-        and machine.gpus + sum(t.gpus for t in tasks) + 1e-6 >= job.gpus
+        machine.cpus + sum(t.cpus for t in tasks) + SLACK >= job.cpus
+        and machine.memory_gb + sum(t.memory_gb for t in tasks) + SLACK >= job.memory_gb
+        and machine.gpus + sum(t.gpus for t in tasks) + SLACK >= job.gpus
     )
 
 
--- a/tealrill/scheduler/reservation.py
+++ b/tealrill/scheduler/reservation.py
@@ -8,7 +8,7 @@
 import heapq
 from dataclasses import dataclass
 
-from tealrill.scheduler.model import JobView, MachineView
+from tealrill.scheduler.model import SLACK, JobView, MachineView
 from tealrill.types import Steady
 
 
@@ -37,17 +37,26 @@
         self.spare_memory_gb -= job.memory_gb
 
 
-def _room_over_time(machine: MachineView, now: Steady) -> list[tuple[Steady, float, float, float]]:
-    """Free room at the moments when it grows."""
+Room = tuple[Steady, float, float, float]
+"""When it is there, and how much: processors, accelerators, memory."""
+
+
+def _first_room(job: JobView, machine: MachineView, now: Steady) -> Room | None:
+    """The earliest moment at which a task of the job fits, as running tasks end."""
     cpus, gpus, memory = machine.cpus, machine.gpus, machine.memory_gb
     at = max(now, machine.ready_at)
-    steps = [(at, cpus, gpus, memory)]
-
+    if machine.fits(job):
+        return at, cpus, gpus, memory
     ends = [(now if t.stopping else t.end_at(now), n, t) for n, t in enumerate(machine.running)]
     for end, _, task in sorted(ends):
         cpus, gpus, memory = cpus + task.cpus, gpus + task.gpus, memory + task.memory_gb
-        steps.append((max(at, end), cpus, gpus, memory))
-    return steps
+        if (
+            cpus + SLACK >= job.cpus
+            and memory + SLACK >= job.memory_gb
+            and gpus + SLACK >= job.gpus
+        ):
+            return max(at, end), cpus, gpus, memory
+    return None
 
 
 def slots(job: JobView, cpus: float, gpus: float, memory: float) -> int:
@@ -55,7 +64,7 @@
     count = job.tasks
     for need, have in ((job.cpus, cpus), (job.gpus, gpus), (job.memory_gb, memory)):
         if need > 0:
-            count = min(count, int((have + 1e-6) // need))
+            count = min(count, int((have + SLACK) // need))
     return max(0, count)
 
 
@@ -67,10 +76,9 @@
     for number, machine in enumerate(machines):
         if not machine.allows(job) or job.zone_room(machine.zone) <= 0:
             continue
-        for at, cpus, gpus, memory in _room_over_time(machine, now):
-            if slots(job, cpus, gpus, memory) > 0:
-                options.append((at, number, machine, (cpus, gpus, memory)))
-                break
+        room = _first_room(job, machine, now)
+        if room is not None:
+            options.append((room[0], number, machine, room[1:]))
     heapq.heapify(options)
     windows: dict[MachineView, Window] = {}
     left = min(most, job.waiting)
