A report that says nothing new is not gone through

The list is kept when it shows what is bound and nothing is under way, and dropped with every change of a binding; a test fails without the drop.

--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -112,6 +112,13 @@
     listed_at: Steady | None = None
     view: MachineView | None = None
     """What placement sees of it, kept from pass to pass; None once something in it has changed."""
+    settled: list[wire.TaskReport] | None = None
+    """The last report's tasks, if all is as it should be: the same list again says nothing new."""
+
+    def touch(self) -> None:
+        """Something in it has changed, so what was worked out from it no longer holds."""
+        self.view = None
+        self.settled = None
 
     def placeable(self, now: Steady, silence_s: float) -> bool:
         """Whether a task may be bound to it at this moment."""
@@ -202,7 +209,22 @@
         machine.answered_at = now
         if not self._take_in(machine, report, now, wall, direct=False):
             return []
-        return self._commands(machine, report, now)
+        if machine.settled is not None:
+            return []
+        commands = self._commands(machine, report, now)
+        if not commands and self._as_it_should_be(machine, report):
+            machine.settled = report.tasks
+        return commands
+
+    @staticmethod
+    def _as_it_should_be(machine: Machine, report: wire.Report) -> bool:
+        """Whether the list shows what is bound, no more and no less, and nothing is under way."""
+        return (
+            not machine.exited
+            and not machine.strangers
+            and len(report.tasks) == len(machine.bindings)
+            and all(b.seen and b.stop is None for b in machine.bindings.values())
+        )
 
     def direct_report(
         self, report: wire.Report, machine_id: MachineId, now: Steady, wall: Wall
@@ -253,7 +275,9 @@
             return False
         if first or not was_current:
             self.changed()
-        self._take_list(machine, report, now, wall, direct)
+        if machine.settled is None or machine.settled != report.tasks:
+            machine.settled = None
+            self._take_list(machine, report, now, wall, direct)
         return True
 
     def _identify(self, machine: Machine, report: wire.Report) -> None:
@@ -266,7 +290,7 @@
             for binding in machine.bindings.values():
                 self._book.place_inherited(binding, zone)
         if (machine.type, machine.zone, machine.spot) != (type_name, zone, spot):
-            machine.view = None
+            machine.touch()
             machine.type, machine.zone, machine.spot = type_name, zone, spot
 
     def _new_session(self, machine: Machine, session: Session, now: Steady) -> None:
@@ -274,7 +298,7 @@
         for binding in list(machine.bindings.values()):
             self._release(machine, binding, now, "later session")
         machine.exited.clear()
-        machine.view = None
+        machine.touch()
         machine.images.clear()
         machine.strangers = 0
         machine.notice_until = None
@@ -315,7 +339,7 @@
         job = binding.chunk.job
         if line.state in (wire.RUNNING, wire.SAVING) and binding.running_since is None:
             ago = max(0.0, wall - binding.bound_at) if binding.inherited else 0.0
-            machine.view = None
+            machine.touch()
             binding.running_since = Steady(now - ago)
             self._has_image(machine, job.spec.image)
         if line.state == wire.EXITED:
@@ -488,7 +512,7 @@
         binding.stop = Stop(reason, grace_s, now)
         machine = self.machines.get(binding.machine)
         if machine is not None:
-            machine.view = None
+            machine.touch()
         if binding.untold:
             if machine is not None:
                 self._release(machine, binding, now, f"never started ({reason})")
@@ -512,7 +536,7 @@
 
     def _attach(self, machine: Machine, binding: Binding) -> None:
         spec = binding.chunk.job.spec
-        machine.view = None
+        machine.touch()
         machine.bindings[binding.task] = binding
         machine.cpus += spec.cpus
         machine.gpus += spec.gpus
@@ -525,7 +549,7 @@
         if machine.bindings.get(binding.task) is not binding:
             return
         spec = binding.chunk.job.spec
-        machine.view = None
+        machine.touch()
         del machine.bindings[binding.task]
         machine.cpus -= spec.cpus
         machine.gpus -= spec.gpus
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -20,7 +20,15 @@
 from tealrill.scheduler.estimates import Estimates
 from tealrill.scheduler.model import MachineView
 from tealrill.state.book import Book
-from tealrill.types import MachineId, Revision, Steady, Token, Wall
+from tealrill.types import (
+    MachineId,
+    Revision,
+    Steady,
+    TaskId,
+    Token,
+    Wall,
+    parse_task_id,
+)
 from tests.samples import SETTINGS, report, spec
 
 _TYPE = {
@@ -122,7 +130,7 @@
     def check(self) -> None:
         kept = _plain(self.dispatcher.view(Steady(self.now), Wall(self.now)).machines)
         for machine in self.fleet.machines.values():
-            machine.view = None
+            machine.touch()
             if isinstance(machine, _Sticky):
                 machine.forget()
         assert kept == _plain(self.dispatcher.view(Steady(self.now), Wall(self.now)).machines)
@@ -197,3 +205,46 @@
     play.beat("m-1", "running")
     play.dispatcher.view(Steady(play.now), Wall(play.now))
     assert made == ["m-1"]
+
+
+def test_a_report_that_says_nothing_new_is_not_gone_through(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hundreds a second say the same as the ones before."""
+    play = _Play()
+    play.run([5, 16, 27, 0, 1, 2, 5, 16, 27, 5])
+    machine = play.fleet.machines[MachineId("m-2")]
+    read: list[str] = []
+
+    def counted(text: str) -> TaskId | None:
+        read.append(text)
+        return parse_task_id(text)
+
+    monkeypatch.setattr(machines, "parse_task_id", counted)
+    assert machine.bindings
+    play.beat("m-2", "running")
+    read.clear()
+    play.beat("m-2", "running")
+    assert not read
+    play.beat("m-2", "flushing")
+    assert len(read) >= len(machine.bindings)
+
+
+def test_a_stop_goes_with_the_answer_to_a_report_that_says_nothing_new() -> None:
+    play = _Play()
+    play.run([5, 16, 27, 0, 1, 2, 5, 16, 27, 5])
+    machine = play.fleet.machines[MachineId("m-2")]
+    lines: list[tuple[str, int, str, str | None]] = [
+        (str(b.task), int(b.attempt), "running", None) for b in machine.bindings.values()
+    ]
+
+    def beat(seq: int) -> list[dict[str, Any]] | None:
+        heard = report("m-2", 1, 1000 + seq, 1, lines)
+        return play.fleet.report(heard, machine.id, Steady(play.now), Wall(play.now))
+
+    assert lines and beat(1) == [] and beat(2) == []
+    binding = next(iter(machine.bindings.values()))
+    play.fleet.stop(binding, "preemption", 0.0, Steady(play.now))
+    stop = wire.stop(str(binding.task), binding.attempt, 0.0)
+    # Repeated until it is seen to be carried out.
+    assert (beat(3), beat(4)) == ([stop], [stop])
