--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -48,6 +48,8 @@
 _PASS_EVERY_S: Final = 2.0
 _PASS_GAP_S: Final = 0.1
 """Events closer together than this share a pass."""
+_PASS_SHARE: Final = 0.25
+"""Passes take no more than this part of the time, as long as one takes less than a second."""
 _SILENCE_EVERY_S: Final = 0.5
 _RETRY_S: Final = 0.3
 _DIRECT_TIMEOUT_S: Final = 2.0
@@ -55,6 +57,15 @@
 """Look-ups under way at once while the records are read."""
 
 
+def pass_gap_s(took_s: float) -> float:
+    """How long events gather before the next pass.
+
+    A node that computes slowly would otherwise do nothing but passes, and workers, submissions and
+    the renewal of its lease would wait for them.
+    """
+    return min(max(_PASS_GAP_S, took_s * (1 / _PASS_SHARE - 1)), _PASS_EVERY_S)
+
+
 def _chunk_of(key: str) -> tuple[JobId | None, str]:
     """The job and the number in a chunk's key."""
     name, _, number = key.removeprefix(RUN_PREFIX).partition("/")
@@ -291,13 +302,14 @@
     async def _passes(self) -> None:
         while True:
             self._wake.clear()
+            began = steady_now()
             if self._valid():
-                self.dispatcher.run(steady_now(), wall_now())
+                self.dispatcher.run(began, wall_now())
                 self.keeper.wake()
-            await asyncio.sleep(_PASS_GAP_S)
+            await asyncio.sleep(pass_gap_s(steady_now() - began))
             pause_s = RENT_EVERY_S if self.dispatcher.put_off else _PASS_EVERY_S
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(pause_s - _PASS_GAP_S):
+                async with asyncio.timeout(pause_s):
                     await self._wake.wait()
 
     async def _silences(self) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,6 +17,7 @@
 from tealrill.fleet.dispatch import RENT_EVERY_S, Dispatcher
 from tealrill.fleet.machines import Fleet
 from tealrill.fleet.rental import Renter
+from tealrill.leader import pass_gap_s
 from tealrill.scheduler.estimates import Estimates
 from tealrill.scheduler.model import MachineView
 from tealrill.state.book import Book
@@ -248,3 +249,11 @@
     stop = wire.stop(str(binding.task), binding.attempt, 0.0)
     # Repeated until it is seen to be carried out.
     assert (beat(3), beat(4)) == ([stop], [stop])
+
+
+@pytest.mark.parametrize(
+    ("took_s", "gap_s"), [(0.0, 0.1), (0.01, 0.1), (0.1, 0.3), (0.4, 1.2), (5.0, 2.0)]
+)
+def test_a_dear_pass_leaves_time_for_the_rest(took_s: float, gap_s: float) -> None:
+    """On a node that computed several times slower, passes held up reports and renewals."""
+    assert pass_gap_s(took_s) == pytest.approx(gap_s)
