--- a/tests/standins.py
+++ b/tests/standins.py
@@ -16,6 +16,9 @@
     def initialize(self, standin: Any) -> None:
         self.standin = standin
 
+    def prepare(self) -> None:
+        self.standin.calls += 1
+
     def body(self) -> Any:
         return orjson.loads(self.request.body)
 
@@ -30,6 +33,7 @@
     routes: tuple[tuple[str, type[_Handler]], ...] = ()
 
     def __init__(self) -> None:
+        self.calls = 0
         sockets = netutil.bind_sockets(0, "127.0.0.1")
         self.port = sockets[0].getsockname()[1]
         rules: list[Any] = [(path, handler, {"standin": self}) for path, handler in self.routes]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import gc
 from typing import Any, cast
 
 import msgspec
@@ -257,3 +258,35 @@
 def test_a_dear_pass_leaves_time_for_the_rest(took_s: float, gap_s: float) -> None:
     """On a node that computed several times slower, passes held up reports and renewals."""
     assert pass_gap_s(took_s) == pytest.approx(gap_s)
+
+
+def _finish_jobs(play: _Play, count: int) -> None:
+    """So many jobs from submission to the end of their records."""
+    for _ in range(count):
+        play.now += 1.0
+        job = play.book.add(spec(id=f"wk-{play.jobs:06d}", pieces=1), Wall(play.now), Revision(1))
+        play.jobs += 1
+        play.beat("m-1", "ended")  # nothing is bound: an empty report
+        play.dispatcher.run(Steady(play.now), Wall(play.now))
+        for chunk in job.chunks.values():
+            chunk.committed = chunk.version
+        play.beat("m-1", "ended")
+        for chunk in job.chunks.values():
+            chunk.committed, chunk.stamp = chunk.version, Revision(play.jobs)
+        assert job.complete
+        play.book.ended(job)
+        play.book.garbage.clear()  # the records are removed
+        play.beat("m-1", "running")
+
+
+def test_nothing_is_kept_of_ten_thousand_finished_jobs() -> None:
+    """A service that runs for months has a bounded memory."""
+    play = _Play()
+    _finish_jobs(play, 200)
+    gc.collect()
+    before = len(gc.get_objects())
+    _finish_jobs(play, 10_000)
+    gc.collect()
+    assert not play.book.jobs and not play.book.ending
+    assert not play.book.urgent and not play.book.lazy
+    assert len(gc.get_objects()) < before + 500
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -206,3 +206,19 @@
     assert result.exit_code == 2
     assert named in result.output
     assert len(result.output.strip().splitlines()) == 1
+
+
+def test_an_idle_leader_asks_little() -> None:
+    """Loops that run for nothing cost a small machine its share; a slow test only asks less."""
+
+    async def scenario(world: World) -> None:
+        worker = Worker("m-000001")
+        await world.beat_until(worker, lambda: worker.token > 0)
+        loop = asyncio.get_running_loop()
+        state, cloud, began = world.state.calls, world.cloud.calls, loop.time()
+        await asyncio.sleep(3.0)
+        passed_s = loop.time() - began
+        assert world.state.calls - state <= 2 + 4 * passed_s
+        assert world.cloud.calls - cloud <= 2 + passed_s
+
+    _in_a_world(scenario)
