Kept views go with the catalogue that they were made with, silent machines' too

A machine that could not take tasks in the pass after a new catalogue kept its old view, with the prices and sizes of before, until something else in it changed. The test fails without the change.

--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -97,10 +97,13 @@
         """What a pass looks at. Machines in which nothing changed are taken as they were."""
         for team, pace in self._paces.items():
             pace.ratio = self._estimates.ratio(team)
-        machines = [v for v in (self._machine(m, now) for m in self._machines()) if v is not None]
-        self._catalogue = self._renter.catalogue
+        if self._catalogue is not self._renter.catalogue:
+            self._catalogue = self._renter.catalogue
+            # Of all machines, those too that this pass does not look at.
+            for machine in self._machines():
+                machine.touch()
         return View(
-            machines,
+            [v for v in (self._machine(m, now) for m in self._machines()) if v is not None],
             [self._job(j, now, wall) for j in self._book.jobs.values() if self._waits(j, now)],
             self._teams(),
             self._expected(now),
@@ -138,7 +141,7 @@
         else:
             return None
         view = machine.view
-        if view is None or view.used or self._catalogue is not self._renter.catalogue:
+        if view is None or view.used:
             view = machine.view = self._fresh(machine, kind)
         view.ready_at = ready_at
         return view
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -100,11 +100,10 @@
     """Some machines and jobs, and what may happen to them."""
 
     def __init__(self) -> None:
-        self.dispatcher, self.fleet, self.book, _ = _dispatcher()
+        self.dispatcher, self.fleet, self.book, self.renter = _dispatcher()
         self.now = 0.0
         self.seq = 0
         self.jobs = 0
-        self.states: dict[str, list[tuple[str, int, str, str | None]]] = {}
 
     def submit(self) -> None:
         self.jobs += 1
@@ -188,6 +187,18 @@
         _Play().run([5, 16, 27, 0, 1, 2, 5, 16, 27])
 
 
+def test_a_view_does_not_outlive_the_catalogue_that_it_was_made_with() -> None:
+    """A machine that was silent when the catalogue changed came back with its old view."""
+    play = _Play()
+    play.run([5, 16, 27])
+    play.now += 10.0
+    larger = {"builds": [{**_TYPE, "vcpus": 12}]}
+    play.renter.take_catalogue(wire.decode(orjson.dumps(larger), wire.Catalogue))
+    assert not play.dispatcher.view(Steady(play.now), Wall(play.now)).machines
+    play.beat("m-1", "running")
+    play.check()
+
+
 def test_a_pass_after_one_report_makes_one_view(monkeypatch: pytest.MonkeyPatch) -> None:
     """Views of every machine and task, made anew ten times a second, were most of a pass."""
     play = _Play()
