--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -306,10 +306,11 @@
             if self._valid():
                 self.dispatcher.run(began, wall_now())
                 self.keeper.wake()
-            await asyncio.sleep(pass_gap_s(steady_now() - began))
+            gap_s = pass_gap_s(steady_now() - began)
+            await asyncio.sleep(gap_s)
             pause_s = RENT_EVERY_S if self.dispatcher.put_off else _PASS_EVERY_S
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(pause_s):
+                async with asyncio.timeout(pause_s - gap_s):
                     await self._wake.wait()
 
     async def _silences(self) -> None:
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -217,9 +217,7 @@
                 grace_s = task.save_s if task.saves else 0.0
                 self.plan.stops.append(StopTask(task.task, head.id, grace_s))
                 victims.machine.give(task)
-            victims.machine.cpus -= head.cpus
-            victims.machine.gpus -= head.gpus
-            victims.machine.memory_gb -= head.memory_gb
+            victims.machine.take(head)
             wanted -= 1
 
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from pathlib import Path
 from typing import Any
 
 import click
+import orjson
 
+from tealrill import wire
 from tealrill.http import Client, NoAnswer
 from tealrill.settings import Address
 from tests import standins
+from tests.samples import SUBMISSION
 
 _REPORT_S = 1.0
 _LEASE_S = 10.0
@@ -50,14 +52,14 @@
         await asyncio.sleep(self._luck.uniform(0, 10))
         while True:
             self._changed.clear()
-            body = json.dumps(self.report()).encode()
+            body = orjson.dumps(self.report())
             try:
-                answer = await client.request("POST", "/agent/beat", body, 4.0)
+                answer = await client.request("POST", wire.REPORT_PATH, body, 4.0)
             except NoAnswer:
                 await asyncio.sleep(1.0)
                 continue
             if answer.status == 200:
-                self._take(json.loads(answer.body))
+                self._take(orjson.loads(answer.body))
             try:
                 async with asyncio.timeout(_REPORT_S):
                     await self._changed.wait()
@@ -97,25 +99,16 @@
 def _job(number: int, luck: random.Random) -> dict[str, Any]:
     quick = luck.random() < 0.6
     return {
+        **SUBMISSION,
         "id": f"wk-{number:06d}",
         "lineup": "quick" if quick else "long",
         "crew": luck.choice(["red", "blue"]),
-        "shape": "sweep",
         "urgency": "urgent" if quick else "standard",
         "pieces": luck.randint(10, 80),
         "vcpus": 1.0 if quick else 2.0,
-        "gpus": 0.0,
         "memoryGb": 1.0,
         "bundle": f"img-{luck.randint(0, 7):02d}",
-        "sizeGb": 1.0,
-        "builds": None,
-        "hall": None,
-        "samePlace": False,
-        "scatter": False,
-        "loaners": True,
         "guessS": 25.0,
-        "snapshotS": 0.0,
-        "flushS": 0.0,
         "dueS": None if quick else 120.0,
     }
 
@@ -127,7 +120,7 @@
     async def send(body: bytes) -> None:
         for _ in range(5):
             try:
-                if (await client.request("POST", "/v2/runs", body, 4.0)).status in (200, 201):
+                if (await client.request("POST", wire.JOBS_PATH, body, 4.0)).status in (200, 201):
                     return
             except NoAnswer:
                 pass
@@ -136,7 +129,7 @@
     under_way: set[asyncio.Task[None]] = set()
     while True:
         number += 1
-        task = asyncio.create_task(send(json.dumps(_job(number, luck)).encode()))
+        task = asyncio.create_task(send(orjson.dumps(_job(number, luck))))
         under_way.add(task)
         task.add_done_callback(under_way.discard)
         if number > first:
@@ -146,7 +139,7 @@
 async def _run(machines: int, rate: float, first: int, settings: Path, for_s: float) -> None:
     luck = random.Random(1)
     state, cloud = standins.State(), standins.Cloud()
-    settings.write_text(json.dumps(_settings(state, cloud)))
+    settings.write_bytes(orjson.dumps(_settings(state, cloud)))
     node = Address("127.0.0.1", 18080)
     workers = [_Worker(f"m-{n:06d}", luck) for n in range(1, machines + 1)]
     for worker in workers:
