A file for what is switched on; a term keeps nothing of machines that are gone

Change: deploy/features.toml, read once and checked by name (exit status 2 and one line otherwise). Connections for commands are kept by machine, closed when it is gone, and bounded by what reports leave (fleet/lines.py). Also bounded: the names a job that fails everywhere keeps of its machines; remembered final states no longer hold descriptions.

Measured: 5,000 machines and 20,000 jobs through a real leader leave 0 connections and no objects (tests/test_growth.py); fleets of 158 and 338 machines keep a connection to every machine as before.

--- a/tealrill/cli.py
+++ b/tealrill/cli.py
@@ -8,7 +8,7 @@
 
 import click
 
-from tealrill import __version__
+from tealrill import __version__, features
 from tealrill.controller import configure_logging
 from tealrill.controller import serve as serve_node
 from tealrill.http import Client, NoAnswer
@@ -34,15 +34,25 @@
     type=click.Path(path_type=Path),
     help="The platform's settings file (JSON).",
 )
-def serve(config: Path) -> None:
+@click.option(
+    "--features",
+    "features_path",
+    type=click.Path(path_type=Path),
+    help="What is switched on beyond the core (TOML); without it, nothing.",
+)
+def serve(config: Path, features_path: Path | None) -> None:
     """Run a controller node until it is killed."""
     try:
         settings = load(config)
+        switched = features.load(features_path) if features_path is not None else None
     except BadSettings as error:
         _fail(f"settings: {error}")
         return
+    except features.BadFeatures as error:
+        _fail(f"features: {error}")
+        return
     configure_logging()
-    serve_node(settings)
+    serve_node(settings, switched or features.Features())
 
 
 @main.command()
--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -17,6 +17,7 @@
 from tealrill.api.peers import PingHandler, TruceHandler
 from tealrill.api.relay import PEER_PREFIX, Relay, Users
 from tealrill.api.users import CancelHandler, HealthHandler, JobHandler, JobsHandler
+from tealrill.features import Features
 from tealrill.fleet.cloud import Cloud, CloudError
 from tealrill.leader import Leader
 from tealrill.scheduler.estimates import Estimates
@@ -45,9 +46,10 @@
 class Node:
     """One controller process."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, features: Features | None = None) -> None:
         params = settings.params
         self._settings = settings
+        self._features = features or Features()
         self._client = StateClient(settings.services.state, params.state, settings.nodes)
         self._cloud = Cloud(settings.services.cloud, params.cloud.rps, settings.nodes)
         self._estimates = Estimates()
@@ -269,7 +271,7 @@
     gc.set_threshold(*_COLLECT)
 
 
-def serve(settings: Settings) -> None:
+def serve(settings: Settings, features: Features) -> None:
     """Runs a node until the process is killed."""
     spare_collector()
-    asyncio.run(Node(settings).run())
+    asyncio.run(Node(settings, features).run())
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -46,6 +46,9 @@
 """A machine on which tasks of this many jobs failed, none succeeding, is called faulty."""
 _BAD_JOB_MACHINES: Final = 3
 """A job whose tasks failed on this many machines is retried with care."""
+_FAILED_ON_KEPT: Final = 16
+"""A job that fails everywhere would otherwise hold the name of every machine there ever was; more
+make no difference to when it is tried again."""
 _IMAGES_KEPT: Final = 64
 
 
@@ -159,6 +162,8 @@
         """Machines whose release was confirmed; lists and late reports may still show them."""
         self.changed: Callable[[], None] = lambda: None
         self.finished: Callable[[Finished], None] = lambda _: None
+        self.dropped: Callable[[MachineId], None] = lambda _: None
+        """A machine is gone or not known any more: nothing of it is to be kept."""
         self.loaded = False
         """Until the records are read, workers are answered with the token only."""
         self._book = book
@@ -376,7 +381,8 @@
         """Counts an error; False if the job is to be retried with care only."""
         job = binding.chunk.job
         machine.failed_jobs.add(job.id)
-        job.failed_on.add(machine.id)
+        if len(job.failed_on) < _FAILED_ON_KEPT:
+            job.failed_on.add(machine.id)
         log.info("task %s failed on %s", binding.task, machine.id)
         if len(machine.failed_jobs) >= _FAULTY_JOBS and not machine.draining:
             log.info("machine %s is faulty: %d jobs failed", machine.id, len(machine.failed_jobs))
@@ -605,6 +611,7 @@
         """Proof 4: the cloud has confirmed that the machine is gone."""
         self.gone[machine_id] = now
         machine = self.machines.pop(machine_id, None)
+        self.dropped(machine_id)
         if machine is None:
             return
         for binding in list(machine.bindings.values()):
@@ -619,3 +626,4 @@
         """Forgets a machine that has no bindings and is no longer listed."""
         assert not machine.bindings
         self.machines.pop(machine.id, None)
+        self.dropped(machine.id)
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -12,11 +12,12 @@
 from tealrill import wire
 from tealrill.fleet.cloud import Cloud
 from tealrill.fleet.dispatch import RENT_EVERY_S, Dispatcher
+from tealrill.fleet.lines import Lines
 from tealrill.fleet.machines import Finished, Fleet, Machine, NewerToken
 from tealrill.fleet.rental import Renter
-from tealrill.http import Client, NoAnswer
+from tealrill.http import NoAnswer
 from tealrill.scheduler.estimates import Estimates
-from tealrill.settings import BadSettings, Settings, parse_address
+from tealrill.settings import BadSettings, Settings
 from tealrill.state.book import (
     JOB_PREFIX,
     RUN_PREFIX,
@@ -113,7 +114,8 @@
         """Changes of jobs are known up to this revision."""
         self._wake = asyncio.Event()
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
-        self._addresses: dict[str, Client] = {}
+        self._lines = Lines(params.quota.fd_limit, lambda: len(self.fleet.machines))
+        self.fleet.dropped = self._lines.drop
 
     # -- the term -------------------------------------------------------------------------------
 
@@ -137,8 +139,7 @@
         self.renter.close()
         for task in self._orders.values():
             task.cancel()
-        for client in self._addresses.values():
-            client.close()
+        self._lines.close()
 
     def wake(self) -> None:
         """Something happened that may change what a pass decides."""
@@ -359,6 +360,10 @@
 
     async def _send_commands(self, machine: Machine) -> None:
         """Stops once, starts until none is left; after a failure the reports' responses serve."""
+        async with self._lines:
+            await self._send_all(machine)
+
+    async def _send_all(self, machine: Machine) -> None:
         stops = self.fleet.stops(machine, steady_now())
         while self._valid() and machine.session is not None:
             starts = self.fleet.direct_starts(machine)
@@ -375,8 +380,8 @@
     async def _send_directly(self, machine: Machine, body: bytes, starts: list[Binding]) -> bool:
         """True if the commands were executed. Without an answer the starts stay unaccounted for."""
         try:
-            answer = await self._client_of(machine.addr).request(
-                "POST", wire.COMMANDS_PATH, body, _DIRECT_TIMEOUT_S
+            answer = await self._lines.request(
+                machine.id, machine.addr, wire.COMMANDS_PATH, body, _DIRECT_TIMEOUT_S
             )
             report = wire.decode(answer.body, wire.Report) if answer.status in (200, 409) else None
         except (NoAnswer, BadSettings, wire.Malformed) as error:
@@ -395,9 +400,3 @@
         if answer.status == 200:
             self.fleet.direct_executed(starts)
         return answer.status == 200
-
-    def _client_of(self, address: str) -> Client:
-        client = self._addresses.get(address)
-        if client is None:
-            client = self._addresses[address] = Client(parse_address(address), most=1)
-        return client
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -199,6 +199,9 @@
     async def _read_over(self, job_id: JobId) -> wire.KeyValue | None:
         over = await self._client.get(over_key(job_id))
         if over is not None:
+            # Without the description, which only a new leader needs: it is most of the record.
+            value = {k: v for k, v in over.value.items() if k != "spec"}
+            over = wire.KeyValue(value=value, version=over.version)
             self._over[job_id] = over
             while len(self._over) > _REMEMBERED:
                 self._over.popitem(last=False)
--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,226 @@
+"""What a term keeps follows what there is, not what there has been.
+
+5,000 machines and 20,000 jobs come and go through a real leader, with its commands over real
+connections to one server that stands in for every machine's worker (each has an address of its own
+within 127.0.0.0/8).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+from typing import Any, cast
+
+import orjson
+import pytest
+from tornado import httpserver, netutil, web
+
+from tealrill import settings, wire
+from tealrill.fleet.cloud import Cloud
+from tealrill.fleet.lines import Lines
+from tealrill.leader import Leader
+from tealrill.scheduler.capacity import Rental
+from tealrill.scheduler.estimates import Estimates
+from tealrill.state.book import job_key
+from tealrill.state.client import StateClient
+from tealrill.state.election import LEADER_KEY, Election, Leadership
+from tealrill.types import LeaseId, MachineId, Revision, Steady, Token, steady_now, wall_now
+from tests.samples import SETTINGS, report, spec
+from tests.test_dispatch import _TYPE
+from tests.test_records import Store
+
+_SOCKETS = 300
+_WAVE = 50
+_JOBS = 4
+"""A machine's jobs, of one task each."""
+
+
+class _Election:
+    """A term that lasts."""
+
+    def __init__(self, mine: Leadership) -> None:
+        self.mine = mine
+
+    def leading(self, _: Steady) -> Leadership:
+        return self.mine
+
+
+class _Orders(web.RequestHandler):
+    def initialize(self, world: _World) -> None:
+        self.world = world
+
+    def post(self) -> None:
+        message = orjson.loads(self.request.body)
+        name = f"m-{self.request.host.split(':')[0]}"
+        tasks = self.world.tasks[name]
+        tasks.update({(o["piece"], o["try"]): "running" for o in message["orders"]})
+        self.finish(orjson.dumps(self.world.report(name)))
+
+
+class _Server(httpserver.HTTPServer):
+    def __init__(self, application: web.Application) -> None:
+        super().__init__(application)
+        self.open = self.most_open = 0
+
+    def start_request(self, server_conn: object, request_conn: Any) -> Any:
+        return super().start_request(server_conn, request_conn)
+
+    def handle_stream(self, stream: Any, address: Any) -> None:
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self.open -= 1
+
+
+class _World:
+    def __init__(self) -> None:
+        values = {**SETTINGS, "params": {**SETTINGS["params"], "quota": {"fd_limit": _SOCKETS}}}
+        self.settings = settings.parse(orjson.dumps(values))
+        self.store = Store(random.Random(0), True)
+        self.store.calm = True
+        mine = Leadership(Token(1), Revision(1), LeaseId(1), steady_now(), Steady(1e12))
+        self.leader = Leader(
+            self.settings,
+            cast(StateClient, self.store),
+            cast(Cloud, None),
+            cast(Election, _Election(mine)),
+            mine,
+            Estimates(),
+        )
+        self.leader.fleet.inherit([], steady_now())
+        catalogue = wire.decode(orjson.dumps({"builds": [{**_TYPE, "vcpus": 16}]}), wire.Catalogue)
+        self.leader.renter.take_catalogue(catalogue)
+        self.leader.renter.rent = lambda *_: None  # type: ignore[method-assign]
+        self.tasks: dict[str, dict[tuple[str, int], str]] = {}
+        self.seqs: dict[str, int] = {}
+        self.machines = self.jobs = 0
+        self.server = _Server(web.Application([("/orders", _Orders, {"world": self})]))
+        sockets = netutil.bind_sockets(0, "0.0.0.0")
+        self.port = sockets[0].getsockname()[1]
+        self.server.add_sockets(sockets)
+
+    def report(self, name: str) -> dict[str, Any]:
+        self.seqs[name] += 1
+        lines = [
+            (task, attempt, state, "done" if state == "ended" else None)
+            for (task, attempt), state in self.tasks[name].items()
+        ]
+        said = report(name, 1, self.seqs[name], 1, lines)
+        return {**wire.plain(said), "addr": f"{name[2:]}:{self.port}"}
+
+    def beat(self, name: str) -> None:
+        heard = wire.decode(orjson.dumps(self.report(name)), wire.Report)
+        for order in self.leader.report(heard, MachineId(name), steady_now()) or []:
+            if order["verb"] == wire.FORGET:
+                self.tasks[name].pop((str(order["piece"]), cast(int, order["try"])))
+
+    async def commit_all(self) -> None:
+        while (batch := self.leader.keeper._gather(Steady(steady_now() + 10.0))).changes:
+            await self.leader.keeper._commit(batch)
+
+    async def wave(self) -> None:
+        """Machines are rented, run some jobs and go back."""
+        names = []
+        for _ in range(_WAVE):
+            self.machines += 1
+            number = self.machines
+            name = f"m-127.{1 + number // 62500}.{number // 250 % 250}.{1 + number % 250}"
+            names.append(name)
+            self.tasks[name], self.seqs[name] = {}, 0
+            self.leader.renter._rented(name, Rental("big", "north", False, 1), steady_now())
+            self.beat(name)
+        for _ in range(_WAVE * _JOBS):
+            self.jobs += 1
+            job = spec(id=f"wk-{self.jobs}", pieces=1, dueS=None)
+            self.store.execute([], [wire.put(job_key(job.id), {"spec": wire.plain(job), "at": 0})])  # type: ignore[arg-type]
+            stamp = Revision(self.store.epoch)
+            self.leader._add_job(
+                job_key(job.id),  # type: ignore[arg-type]
+                {"spec": wire.plain(job), "at": wall_now()},
+                stamp,
+            )
+        self.leader.dispatcher.run(steady_now(), wall_now())
+        await self.commit_all()
+        while self.leader._orders:
+            await asyncio.gather(*self.leader._orders.values())
+        for name in names:
+            assert len(self.tasks[name]) == _JOBS
+            self.tasks[name] = dict.fromkeys(self.tasks[name], "ended")
+            self.beat(name)
+        await self.commit_all()
+        for name in names:
+            self.beat(name)
+            assert not self.tasks[name]
+            self.leader.fleet.released(MachineId(name), steady_now())
+            del self.tasks[name], self.seqs[name]
+        self.store.keys = {LEADER_KEY: ({}, 1)}
+        self.leader.fleet.forget_gone(Steady(steady_now() + 1000.0))
+
+
+def test_a_long_term_keeps_nothing_of_machines_and_jobs_that_are_gone() -> None:
+    async def scenario() -> None:
+        world = _World()
+        for _ in range(4):
+            await world.wave()
+        gc.collect()
+        before = len(gc.get_objects())
+        while world.machines < 5000:
+            await world.wave()
+            assert len(world.leader._lines) == 0
+        assert world.jobs == 20_000
+        await asyncio.sleep(0.2)
+        gc.collect()
+        assert not world.leader.book.jobs and not world.leader.fleet.machines
+        assert len(gc.get_objects()) < before + 1000
+        assert len(asyncio.all_tasks()) <= 2
+        # Clients were closed with their machines; the server hears of it a moment later.
+        assert world.server.most_open <= 3 * _WAVE
+
+    asyncio.run(scenario())
+
+
+def test_connections_for_commands_leave_room_for_reports() -> None:
+    """More machines than sockets: all commands get there, over as many as are to spare."""
+
+    async def scenario() -> None:
+        open_now = most = served = 0
+
+        class Count(web.RequestHandler):
+            async def post(self) -> None:
+                nonlocal served
+                served += 1
+                await asyncio.sleep(0.01)
+
+        server = _Server(web.Application([("/orders", Count)]))
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        lines = Lines(200, lambda: 90)
+
+        async def command(number: int) -> None:
+            nonlocal open_now, most
+            async with lines:
+                open_now += 1
+                most = max(most, open_now)
+                machine = MachineId(f"m-{number}")
+                await lines.request(machine, f"127.0.0.1:{port}", "/orders", b"{}", 30.0)
+                open_now -= 1
+
+        await asyncio.gather(*(command(number) for number in range(90)))
+        assert served == 90 and most == lines.most == 30
+        assert len(lines) <= lines.most
+        lines.close()
+        assert len(lines) == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("sockets", "machines", "most"), [(500, 158, 200), (1000, 338, 400)])
+def test_ordinary_fleets_keep_a_connection_to_every_machine(
+    sockets: int, machines: int, most: int
+) -> None:
+    assert Lines(sockets, lambda: machines).most == most >= machines
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import contextlib
 import copy
 from collections.abc import AsyncIterator, Callable, Coroutine
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -13,7 +14,7 @@
 from click.testing import CliRunner
 from tornado import netutil
 
-from tealrill import settings
+from tealrill import features, settings
 from tealrill.cli import main
 from tealrill.controller import Node
 from tealrill.http import Answer, Client
@@ -208,6 +209,39 @@
     assert len(result.output.strip().splitlines()) == 1
 
 
+@pytest.mark.parametrize(
+    ("content", "named"),
+    [
+        ("version = ", "TOML"),
+        ("version = 2", "$.version"),
+        ("[grafs]\non = true", "grafs"),
+        ("[graphs]\nonn = true", "onn"),
+        ("[graphs]\non = 1", "$.graphs.on"),
+        ("[graphs]\nmost_nodes = 0", "$.graphs.most_nodes"),
+        (b"\xff", "UTF-8"),
+        (None, "No such file"),
+    ],
+)
+def test_bad_features_end_the_command_in_one_line(
+    tmp_path: Path, content: str | bytes | None, named: str
+) -> None:
+    config, path = tmp_path / "settings.json", tmp_path / "features.toml"
+    config.write_bytes(orjson.dumps(SETTINGS))
+    if content is not None:
+        path.write_bytes(content.encode() if isinstance(content, str) else content)
+    arguments = ["serve", "--features", str(path), "--config", str(config)]
+    result = CliRunner().invoke(main, arguments)
+    assert result.exit_code == 2
+    assert "features" in result.output and named in result.output
+    assert len(result.output.strip().splitlines()) == 1
+
+
+def test_the_features_that_are_delivered_can_be_read() -> None:
+    root = Path(__file__).resolve().parent.parent
+    assert features.load(root / "deploy" / "features.toml").version == 1
+    assert "--features deploy/features.toml" in (root / "deploy" / "service.toml").read_text()
+
+
 def test_an_idle_leader_asks_little() -> None:
     """Loops that run for nothing cost a small machine its share; a slow test only asks less."""
 
