The seam for subsystems: parts of a term, joined transactions, owned jobs

Need: task graphs need a place in the leader's term, in its transactions and in the users' answers, and `controller.py` and `leader.py` must not become the place where everything is added.

Change: `seam.py` names the kinds that a subsystem may bring. In the core: a job may belong to a record (`Owner`) whose version then guards its bindings and its end; its tasks may be let go one by one; a task may have a bound on its failures, which is written with the task; a job may end failed or skipped; a subsystem's changes join the leader's transactions behind ends and bindings. Graph nodes that are equals otherwise go by the path behind them, among themselves only. Records under `job/` that are no jobs are handed to subsystems, in the same reading and the same watch.

Without a subsystem nothing of it is read, written or run; plain jobs' records are as they were.

--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from tealrill import wire
@@ -27,7 +27,7 @@
 from tealrill.scheduler.plan import plan
 from tealrill.settings import Params
 from tealrill.state.book import Binding, Book, Job
-from tealrill.types import JobId, MachineId, Steady, Wall
+from tealrill.types import JobId, MachineId, Revision, Steady, Wall
 
 log = logging.getLogger(__name__)
 
@@ -78,6 +78,8 @@
         """A wish for machines waits for a pass soon after this one."""
         self.sizes = Sizes()
         self.policy = Policy()
+        self.upcoming: Callable[[Steady, float], Iterable[tuple[JobView, int]]] = lambda _, __: ()
+        """Tasks that will wait for machines within so many seconds."""
         self.last: Plan = Plan()
 
     def run(self, now: Steady, wall: Wall) -> None:
@@ -219,7 +221,7 @@
             max(0, job.waiting - len(job.held)),
             spec.tasks,
             waited_s,
-            self._latest(spec, waited_s, run_s),
+            self._latest(spec, job.due_s, waited_s, run_s),
             run_s,
             spec.image,
             spec.image_gb,
@@ -230,16 +232,36 @@
             spec.spot,
             dict(job.zone_counts),
             spec.is_gang,
+            job.owner.name if job.owner is not None else "",
+            job.tail_s,
         )
 
-    def _latest(self, spec: wire.JobSpec, waited_s: float, run_s: float) -> tuple[float, ...]:
+    def view_of(self, spec: wire.JobSpec, waiting: int) -> JobView:
+        """A job that is not in the queue, as if it had just come."""
+        job = Job(JobId(spec.id), spec, Wall(0.0), Revision(0), 1, bytearray())
+        job.due_s = spec.deadline_s
+        view = self._job(job, Steady(0.0), Wall(0.0))
+        view.waiting = waiting
+        return view
+
+    def remaining_s(self, job: Job, now: Steady) -> float:
+        """How long the job's tasks are expected to take from now on."""
+        run_s = self._run_s(job.spec)
+        if job.waiting > 0:
+            return run_s
+        bound = ((now - b.running_since) if b.running_since else 0.0 for b in job.bindings())
+        return max((remaining_s(run_s, ran_s) for ran_s in bound), default=0.0)
+
+    def _latest(
+        self, spec: wire.JobSpec, due_s: float | None, waited_s: float, run_s: float
+    ) -> tuple[float, ...]:
         """Per deadline, the time left until the job's tasks must have started."""
-        if spec.deadline_s is None:
+        if due_s is None:
             return ()
         times = self._times.get(spec.job_class, [1.0])
         # Estimates are often wrong by half: a deadline isn't given up for the last part of one.
         run_s *= _LIKELY
-        return tuple(spec.deadline_s * t - waited_s - run_s for t in times)
+        return tuple(due_s * t - waited_s - run_s for t in times)
 
     def _teams(self) -> dict[str, TeamView]:
         return {
@@ -308,8 +330,11 @@
         self._rent_at = Steady(now + RENT_EVERY_S)
         machines = view.machines + view.coming
         available = self._renter.available(now)
+        # Behind what waits already: machines that boot while the tasks before them still run.
+        soon = self.upcoming(now, max(o.boot_s for o in offers))
+        unplaced = [*result.unplaced, *soon]
         wanted = capacity.rentals(
-            result.unplaced, machines, offers, available, now, self.policy, result.affordable
+            unplaced, machines, offers, available, now, self.policy, result.affordable
         )
         if not wanted:
             missing = self._missing_for_expected(view, machines)
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -384,6 +384,7 @@
         if len(job.failed_on) < _FAILED_ON_KEPT:
             job.failed_on.add(machine.id)
         log.info("task %s failed on %s", binding.task, machine.id)
+        self._book.task_failed(job, binding.task.index)
         if len(machine.failed_jobs) >= _FAULTY_JOBS and not machine.draining:
             log.info("machine %s is faulty: %d jobs failed", machine.id, len(machine.failed_jobs))
             machine.draining = "faulty"
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -5,7 +5,8 @@
 import asyncio
 import contextlib
 import logging
-from typing import Final
+from collections.abc import Callable, Sequence
+from typing import Any, Final
 
 import msgspec
 
@@ -17,15 +18,20 @@
 from tealrill.fleet.rental import Renter
 from tealrill.http import NoAnswer
 from tealrill.scheduler.estimates import Estimates
+from tealrill.scheduler.model import JobView
+from tealrill.seam import Term, TermPart
 from tealrill.settings import BadSettings, Settings
 from tealrill.state.book import (
     JOB_PREFIX,
+    OUTCOME_CANCELLED,
+    OUTCOME_DONE,
     RUN_PREFIX,
     BadRecord,
     Binding,
     Book,
     Chunk,
     Job,
+    Owner,
     over_key,
 )
 from tealrill.state.client import StateClient, StateError
@@ -76,6 +82,8 @@
 class _JobRecord(msgspec.Struct):
     spec: wire.JobSpec
     at: float = 0.0
+    owner: str | None = None
+    """The record that the job belongs to; the subsystem whose it is reads the rest."""
 
 
 class Leader:
@@ -89,6 +97,7 @@
         election: Election,
         mine: Leadership,
         estimates: Estimates,
+        parts: Sequence[Callable[[Term], TermPart]] = (),
     ) -> None:
         params = settings.params
         self._client = client
@@ -112,6 +121,22 @@
         )
         self.seen = Revision(0)
         """Changes of jobs are known up to this revision."""
+        term = Term(
+            settings,
+            client,
+            mine,
+            self.book,
+            self.keeper,
+            self._valid,
+            self._stop,
+            self.dispatcher.remaining_s,
+            self.dispatcher.view_of,
+        )
+        self.parts = [part(term) for part in parts]
+        if self.parts:
+            self.dispatcher.upcoming = self._upcoming
+            self.keeper.tasks_done = self._tasks_done
+            self.keeper.owner_gone = self._owner_gone
         self._wake = asyncio.Event()
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
         self._lines = Lines(params.quota.fd_limit, lambda: len(self.fleet.machines))
@@ -130,6 +155,8 @@
                 group.create_task(self._silences())
                 group.create_task(self.renter.run_releases())
                 group.create_task(self.renter.run_lists())
+                for part in self.parts:
+                    group.create_task(part.run())
         except* Deposed:
             self._election.step_down("its key is gone")
         finally:
@@ -156,6 +183,7 @@
             try:
                 jobs, revision = await self._client.scan(JOB_PREFIX)
                 chunks, _ = await self._client.scan(RUN_PREFIX)
+                self._read_others(jobs)
                 for entry in jobs:
                     self._add_job(entry.key, entry.value, Revision(entry.version))
                 await self._load_over(chunks)
@@ -191,7 +219,46 @@
             log.error("record of job %s: %s", job_id, error)
             return None
         self.dispatcher.submitted(record.spec, steady_now())
-        return self.book.add(record.spec, Wall(record.at), stamp)
+        job = self.book.add(record.spec, Wall(record.at), stamp)
+        if record.owner is not None:
+            self._give_to_owner(job, value)
+        return job
+
+    # -- what subsystems keep beside the jobs -----------------------------------------------------
+
+    def _read_others(self, entries: Sequence[wire.Entry]) -> None:
+        others = [e for e in entries if parse_job_id(e.key.removeprefix(JOB_PREFIX)) is None]
+        for part in self.parts:
+            part.read(others)
+
+    def _give_to_owner(self, job: Job, value: Any) -> None:
+        if not any(part.take(job, value) for part in self.parts):
+            # Its subsystem is switched off, or can't read it: kept as it is, nothing of it starts.
+            log.error("job %s waits for what this node does not know", job.id)
+            self.book.close_tasks(job)
+        if job.cancelled and self.fleet.loaded:
+            self._stop(job)
+
+    def _stop(self, job: Job) -> None:
+        self.book.cancel(job)
+        self.dispatcher.cancel(job, steady_now())
+        self.wake()
+
+    def _over(self, job: Job) -> None:
+        for part in self.parts:
+            part.over(job)
+
+    def _upcoming(self, now: Steady, within_s: float) -> list[tuple[JobView, int]]:
+        return [found for part in self.parts for found in part.upcoming(now, within_s)]
+
+    def _tasks_done(self, job: Job, tasks: list[int]) -> None:
+        for part in self.parts:
+            part.tasks_done(job, tasks)
+        self.wake()
+
+    def _owner_gone(self, owner: Owner) -> None:
+        for part in self.parts:
+            part.owner_gone(owner)
 
     def _load_chunk(self, entry: wire.Entry) -> list[Binding]:
         job_id, number = _chunk_of(entry.key)
@@ -242,7 +309,12 @@
                 await asyncio.sleep(_RETRY_S)
                 continue
             for event in result.events:
-                if event.put is not None:
+                key = event.put or event.delete or ""
+                if parse_job_id(key.removeprefix(JOB_PREFIX)) is None:
+                    value = event.value if event.put is not None else None
+                    for part in self.parts:
+                        part.seen(key, value, Revision(event.version))
+                elif event.put is not None:
                     if self._add_job(event.put, event.value, Revision(event.version)):
                         self.wake()
                 elif event.delete is not None:
@@ -253,6 +325,7 @@
         """After a watch that began too late: what came and what went."""
         entries, revision = await self._client.scan(JOB_PREFIX)
         keys = {entry.key for entry in entries}
+        self._read_others(entries)
         for entry in entries:
             self._add_job(entry.key, entry.value, Revision(entry.version))
         for job in list(self.book.jobs.values()):
@@ -263,15 +336,20 @@
 
     def job_cancelled(self, name: str) -> None:
         """Its record is gone, or another node says that it has acknowledged the cancellation."""
-        job = self.book.jobs.get(JobId(name))
+        job_id = parse_job_id(name)
+        if job_id is None:
+            for part in self.parts:
+                part.cancelled(name)
+            return
+        job = self.book.jobs.get(job_id)
         # A job that is being ended here is deleted by this leader itself; if its user was faster,
         # the transaction that ends it fails and finds out.
         if job is None or job.cancelled or job.id in self.book.ending:
             return
         log.info("job %s was cancelled; %d of its tasks are bound", job.id, job.bound_count)
-        self.book.cancel(job)
-        self.dispatcher.cancel(job, steady_now())
-        self.wake()
+        job.outcome = OUTCOME_CANCELLED
+        self._stop(job)
+        self._over(job)
 
     def _committed(self, chunks: list[Chunk]) -> None:
         """Bindings in these chunks may be started now."""
@@ -281,7 +359,7 @@
                 self._command_now(machine)
 
     def _job_over(self, job: Job) -> None:
-        if job.complete or job.done_count >= job.spec.tasks:
+        if job.outcome == OUTCOME_DONE and job.done_count >= job.spec.tasks:
             spec = job.spec
             log.info(
                 "job %s is done: %s, %d tasks, after %.0f s, due after %s s",
@@ -291,8 +369,11 @@
                 wall_now() - job.submitted,
                 f"{spec.deadline_s:.0f}" if spec.deadline_s is not None else "-",
             )
+        else:
+            log.info("job %s is over: %s", job.id, job.outcome)
         if job.cancelled:
             self.dispatcher.cancel(job, steady_now())
+        self._over(job)
 
     def _finished(self, finished: Finished) -> None:
         spec = finished.job.spec
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -140,6 +140,10 @@
     zone_counts: dict[str, int]
     gang: bool = False
     """Its tasks start only when there is room for all that wait."""
+    graph: str = ""
+    """The graph that it is a node of."""
+    tail_s: float = 0.0
+    """Estimated time of the longest path of nodes behind it."""
 
     def may_use(self, type_name: str, zone: str, spot: bool) -> bool:
         """Whether the job allows a kind of machine."""
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -45,7 +45,27 @@
         within = team is not None and team.guaranteed(job)
         return (0 if within else 1, places[job], -job.waited_s, job.id)
 
-    return sorted(jobs, key=key)
+    ordered = sorted(jobs, key=key)
+    if any(job.graph for job in jobs):
+        _by_path(ordered, lambda job: key(job)[:2])
+    return ordered
+
+
+def _by_path(ordered: list[JobView], rank: Callable[[JobView], tuple[object, ...]]) -> None:
+    """Among a graph's nodes that are equals otherwise, those with the longest path behind them.
+
+    (Ours; the paper's jobs don't depend on each other.) They change places with each other only:
+    whoever is not of the graph stays where it was, so that a graph gains nothing over plain jobs.
+    """
+    groups: dict[tuple[object, ...], list[int]] = {}
+    for place, job in enumerate(ordered):
+        if job.graph:
+            groups.setdefault((job.graph, job.team, job.rank, *rank(job)), []).append(place)
+    for places in groups.values():
+        if len(places) > 1:
+            found = sorted((ordered[at] for at in places), key=lambda job: -job.tail_s)
+            for place, job in zip(places, found, strict=True):
+                ordered[place] = job
 
 
 def _levels(
--- /dev/null
+++ b/tealrill/seam.py
@@ -0,0 +1,91 @@
+"""What a subsystem may bring, and what it gets: the only kinds that the wiring knows.
+
+A subsystem is a package that the core does not import. `controller.py` makes those that are
+switched on, serves their routes and runs their loops; `leader.py` gives each a part in its term.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from tealrill import wire
+from tealrill.scheduler.model import JobView
+from tealrill.settings import Settings
+from tealrill.state.book import Book, Job, Owner
+from tealrill.state.client import StateClient
+from tealrill.state.election import Leadership
+from tealrill.state.intake import Names
+from tealrill.state.keeper import Keeper
+from tealrill.types import Revision, Steady
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """What a subsystem may use of a term of leadership."""
+
+    settings: Settings
+    client: StateClient
+    mine: Leadership
+    book: Book
+    keeper: Keeper
+    valid: Callable[[], bool]
+    """Whether the leader may act at this moment."""
+    stop: Callable[[Job], None]
+    """A job's record is over, or is certain to be: nothing of it starts, what runs is stopped."""
+    remaining_s: Callable[[Job, Steady], float]
+    """How long a job's tasks are expected to take from now on."""
+    job_view: Callable[[wire.JobSpec, int], JobView]
+    """A job that is not in the queue as the planner would see it, with so many waiting tasks."""
+
+
+class TermPart(Protocol):
+    """A subsystem's part of a term. Every call but `run` returns at once."""
+
+    def read(self, entries: Sequence[wire.Entry]) -> None:
+        """All records under `job/` that are no jobs, at the term's start and after a watch that
+        began too late. Called before the jobs are added."""
+
+    def seen(self, key: str, value: Any, version: Revision) -> None:
+        """Such a record was written; None as its value if it was removed."""
+
+    def take(self, job: Job, value: dict[str, Any]) -> bool:
+        """A job whose record names an owner; False if the owner is none of this subsystem's."""
+
+    def over(self, job: Job) -> None:
+        """The end of a job's record is known; `job.outcome` says how it ended."""
+
+    def cancelled(self, name: str) -> None:
+        """Another node says that it has acknowledged the cancellation of something by this name."""
+
+    def owner_gone(self, owner: Owner) -> None:
+        """A transaction failed because an owner's record is not as it was."""
+
+    def tasks_done(self, job: Job, tasks: list[int]) -> None:
+        """Tasks of a job that others follow are written down as done."""
+
+    def upcoming(self, now: Steady, within_s: float) -> Iterable[tuple[JobView, int]]:
+        """Tasks that will wait for machines within so many seconds."""
+
+    def describe(self) -> dict[str, Any]:
+        """For operators."""
+
+    async def run(self) -> None:
+        """The subsystem's loop; ends with the term."""
+
+
+@dataclass(frozen=True, slots=True)
+class Subsystem:
+    """One subsystem on one node."""
+
+    name: str
+    user_routes: Sequence[Any] = ()
+    """Served on `client_listen`."""
+    peer_routes: Sequence[Any] = ()
+    """Served on `cluster_listen`."""
+    loops: Sequence[Callable[[], Coroutine[Any, Any, None]]] = field(default=())
+    """Run on every node."""
+    names: Names | None = None
+    """Job ids that belong to it though they have no record of their own."""
+    term: Callable[[Term], TermPart] | None = None
--- a/tealrill/state/book.py
+++ b/tealrill/state/book.py
@@ -30,6 +30,8 @@
 )
 
 JOB_PREFIX: Final = "job/"
+"""Jobs by their ids. Names that are no job ids belong to subsystems, whose records are then seen in
+the same reading and the same watch as the jobs that depend on them."""
 RUN_PREFIX: Final = "run/"
 OVER_PREFIX: Final = "over/"
 _DONE: Final = -1
@@ -38,6 +40,14 @@
 _MOST_IN_CHUNK: Final = 128
 
 
+OUTCOME_DONE: Final = "done"
+OUTCOME_FAILED: Final = "failed"
+"""A task failed more often than the job's bound allows."""
+OUTCOME_SKIPPED: Final = "skipped"
+"""What the job waits for can't come any more."""
+OUTCOME_CANCELLED: Final = "cancelled"
+
+
 class BadRecord(Exception):
     """A record in the state service that this version did not write."""
 
@@ -106,6 +116,15 @@
     errors: int = 0
 
 
+@dataclass(slots=True, eq=False)
+class Owner:
+    """A record that a job belongs to: while it stands in this version the job may run and end."""
+
+    key: str
+    stamp: Revision
+    name: str
+
+
 @dataclass(slots=True, eq=False)
 class Chunk:
     """The record of a run of a job's tasks."""
@@ -117,6 +136,8 @@
     committed: int = 0
     dirty_since: Steady | None = None
     new_bindings: int = 0
+    news: list[tuple[int, int]] = field(default_factory=list)
+    """For a job whose followers wait for single tasks: versions and the tasks they made done."""
 
     @property
     def key(self) -> str:
@@ -146,12 +167,27 @@
     cancelled: bool = False
     failed_on: set[MachineId] = field(default_factory=set)
     retry_at: Steady = Steady(0.0)
+    due_s: float | None = None
+    """Its deadline, from its submission."""
+    owner: Owner | None = None
+    tail_s: float = 0.0
+    """Estimated time that what depends on it takes after it."""
+    most_errors: int | None = None
+    """How often one task may fail before the job has failed; None: it is tried for ever."""
+    outcome: str = OUTCOME_DONE
+    """How it ends, once it is in `Book.ending`."""
+    opened: bytearray | None = None
+    """For a job whose tasks are let go one by one: which of them were."""
+    closed: int = 0
+    """Tasks that were not."""
+    followed: bool = False
+    """Others wait for its single tasks, so that a done one is written without delay."""
 
     @property
     def waiting(self) -> int:
-        if self.cancelled:
+        if self.cancelled or self.outcome != OUTCOME_DONE:
             return 0
-        return self.spec.tasks - self.done_count - self.bound_count
+        return self.spec.tasks - self.done_count - self.bound_count - self.closed
 
     @property
     def complete(self) -> bool:
@@ -181,9 +217,48 @@
     def add(self, spec: wire.JobSpec, submitted: Wall, stamp: Revision) -> Job:
         job_id = JobId(spec.id)
         job = Job(job_id, spec, submitted, stamp, self._chunk_tasks, bytearray(spec.tasks))
+        job.due_s = spec.deadline_s
         self.jobs[job_id] = job
         return job
 
+    # -- jobs whose tasks are let go one by one ----------------------------------------------
+
+    def close_tasks(self, job: Job) -> None:
+        """Before any of it is known: none of its tasks may start until it is opened."""
+        job.opened = bytearray(job.spec.tasks)
+        job.closed = job.spec.tasks
+        job.fresh = job.spec.tasks
+
+    def open_task(self, job: Job, index: int) -> bool:
+        """Lets one task go; True the first time."""
+        if job.opened is None or job.opened[index]:
+            return False
+        self._count_open(job, index)
+        if self._free(job, index):
+            heapq.heappush(job.requeued, index)
+        return True
+
+    def follow(self, job: Job, now: Steady) -> list[int]:
+        """From here on others wait for its single tasks; those that are written down as done."""
+        job.followed = True
+        kept: list[int] = []
+        for number, chunk in job.chunks.items():
+            first = number * job.chunk_tasks
+            last = min(first + job.chunk_tasks, job.spec.tasks)
+            done = [index for index in range(first, last) if job.done[index]]
+            if chunk.committed >= chunk.version:
+                kept += done
+            elif done:
+                chunk.news = [(chunk.version, index) for index in done]
+                self._mark(chunk, now, hurry=True)
+        return kept
+
+    @staticmethod
+    def _count_open(job: Job, index: int) -> None:
+        if job.opened is not None and not job.opened[index]:
+            job.opened[index] = 1
+            job.closed -= 1
+
     def clear(self) -> None:
         """Back to nothing, for a new attempt to read the records."""
         for part in (self.jobs, self.urgent, self.lazy, self.ending, self.garbage):
@@ -294,13 +369,33 @@
         job.done[index] = 1
         job.done_count += 1
         job.held.discard(index)
+        # Whatever said so, a task that is done is not waited for any more.
+        self._count_open(job, index)
         chunk = self._chunk(job, index)
         chunk.version += 1
-        self._mark(chunk, now)
-        if job.complete:
+        if job.followed:
+            chunk.news.append((chunk.version, index))
+        self._mark(chunk, now, hurry=job.followed)
+        if job.complete and job.outcome == OUTCOME_DONE:
             self.ending[job.id] = job
         return True
 
+    def task_failed(self, job: Job, index: int) -> None:
+        """Counts an error of a task. Called before its binding is released, which writes it."""
+        task = job.tasks.get(index)
+        if task is None or job.most_errors is None:
+            return
+        task.errors += 1
+        if task.errors > job.most_errors:
+            self.give_up(job, OUTCOME_FAILED)
+
+    def give_up(self, job: Job, outcome: str) -> None:
+        """Ends a job that is not done: nothing more of it starts, what runs is stopped after."""
+        if job.cancelled or job.complete or job.outcome != OUTCOME_DONE:
+            return
+        job.outcome = outcome
+        self.ending[job.id] = job
+
     def cancel(self, job: Job) -> None:
         """The job's record is over: nothing of it may start any more."""
         job.cancelled = True
@@ -333,11 +428,12 @@
             chunk = job.chunks[number] = Chunk(job, number)
         return chunk
 
-    def _mark(self, chunk: Chunk, now: Steady, urgent: bool = False) -> None:
+    def _mark(self, chunk: Chunk, now: Steady, urgent: bool = False, hurry: bool = False) -> None:
+        """A chunk has to be written: `urgent` for a new binding, `hurry` for what others await."""
         if chunk.dirty_since is None:
             chunk.dirty_since = now
-        if urgent:
-            chunk.new_bindings += 1
+        if urgent or hurry:
+            chunk.new_bindings += int(urgent)
             self.lazy.pop(chunk, None)
             self.urgent[chunk] = None
         elif chunk not in self.urgent:
@@ -376,7 +472,15 @@
                 entries.append(_DONE)
             else:
                 entries.append([task.next_attempt] if task is not None else 0)
-        return {"n": job.chunk_tasks, "tasks": entries}
+        value: dict[str, Any] = {"n": job.chunk_tasks, "tasks": entries}
+        errors = {
+            str(index - first): job.tasks[index].errors
+            for index in range(first, last)
+            if index in job.tasks and job.tasks[index].errors and not job.done[index]
+        }
+        if errors:
+            value["errors"] = errors
+        return value
 
     def load(self, job: Job, number: int, value: Any, stamp: Revision) -> list[Binding]:
         """Takes over a chunk that a former leader wrote; returns the bindings that stand."""
@@ -397,6 +501,10 @@
                     self._load_done(job, index)
                 continue
             bindings.extend(self._load_entry(job, chunk, index, entry))
+        for place, errors in record.errors.items():
+            task = job.tasks.get(number * record.n + int(place) if place.isdigit() else -1)
+            if task is not None:
+                task.errors = errors
         if job.complete:
             self.ending[job.id] = job
         return bindings
@@ -404,9 +512,12 @@
     def _load_done(self, job: Job, index: int) -> None:
         job.done[index] = 1
         job.done_count += 1
+        self._count_open(job, index)
 
     def _load_entry(self, job: Job, chunk: Chunk, index: int, entry: list[Any]) -> list[Binding]:
         task = job.tasks[index] = Task(Attempt(int(entry[0])))
+        # What was bound once had been let go.
+        self._count_open(job, index)
         if len(entry) == 1:
             heapq.heappush(job.requeued, index)
             return []
@@ -439,3 +550,5 @@
 class _ChunkRecord(msgspec.Struct):
     n: int
     tasks: list[int | list[Any]]
+    errors: dict[str, int] = {}
+    """Failures by the task's place in the chunk; kept for jobs with a bound on them."""
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -12,13 +12,13 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import orjson
 
 from tealrill import wire
 from tealrill.settings import Settings, Team
-from tealrill.state.book import RUN_PREFIX, job_key, over_key
+from tealrill.state.book import JOB_PREFIX, RUN_PREFIX, job_key, over_key
 from tealrill.state.client import (
     Busy,
     Committed,
@@ -58,6 +58,23 @@
 _NOT_FOUND: Final = Reply(404, {"error": "no such job"})
 
 
+class Names(Protocol):
+    """Job ids that belong to a subsystem's record, whether or not they have one of their own."""
+
+    def claims(self, job_id: JobId) -> list[str]:
+        """Keys that must be absent for somebody else's job of this id to be accepted."""
+
+    async def status(self, job_id: JobId) -> str | None:
+        """Of an id without a record of its own: `pending` if it may get one yet, `aborted` if it
+        has one in `over/` or never will have one; None if it is no job at all."""
+
+    async def refusal(self, job_id: JobId) -> Reply | None:
+        """Why a job of this id can't be accepted, if that will not change."""
+
+    async def cancel(self, job_id: JobId) -> Revision | None:
+        """Cancels a job without a record of its own; None if that has to be looked at again."""
+
+
 class Intake:
     """What users ask for."""
 
@@ -72,7 +89,9 @@
         self._value_bytes = int(settings.params.state.value_kb * 1024)
         self._catalogue = catalogue
         self._over: OrderedDict[JobId, wire.KeyValue] = OrderedDict()
-        self._cancelled: OrderedDict[JobId, Revision] = OrderedDict()
+        self._cancelled: OrderedDict[str, Revision] = OrderedDict()
+        """Of jobs, and of what owns jobs."""
+        self.names: Names | None = None
         self.counts: Callable[[JobId], tuple[int, int] | None] = lambda _: None
         """Done and running tasks as the leader's memory has them; None elsewhere."""
 
@@ -97,7 +116,7 @@
             except wire.Malformed as error:
                 problem = Reply(400, {"error": str(error)})
         if spec is not None:
-            problem = self._problem(spec, job_id)
+            problem = self.problem(spec, job_id)
         if problem is None and spec is not None and job_id is not None:
             return await self._accept(spec, job_id)
         # What was accepted once stays accepted, whatever a repetition says.
@@ -107,10 +126,13 @@
                 return known
         return problem or _unavailable("not decided")
 
-    def _problem(self, spec: wire.JobSpec, job_id: JobId | None) -> Reply | None:
+    def problem(
+        self, spec: wire.JobSpec, job_id: JobId | None, beside_bytes: int = 100
+    ) -> Reply | None:
+        """What stands against a job; `beside_bytes` is what its record holds beside it."""
         if job_id is None:
             return Reply(400, {"error": "id: malformed - at `$.id`"})
-        if len(wire.encode(spec)) + 100 > self._value_bytes:
+        if len(wire.encode(spec)) + beside_bytes > self._value_bytes:
             return Reply(400, {"error": "the job's description is too long - at `$.builds`"})
         team = self._teams.get(spec.team)
         if team is None:
@@ -130,6 +152,8 @@
         if not self._client.accepts.take_now():
             return self._refuse(job_id, "too many submissions", elsewhere=False)
         guards = [wire.guard(job_key(job_id), ABSENT), wire.guard(over_key(job_id), ABSENT)]
+        if self.names is not None:
+            guards += [wire.guard(key, ABSENT) for key in self.names.claims(job_id)]
         record = {"spec": wire.plain(spec), "at": wall_now()}
         try:
             result = await self._commit_accepted(guards, [wire.put(job_key(job_id), record)])
@@ -143,7 +167,10 @@
         if isinstance(result, Committed):
             log.debug("job %s accepted", job_id)
             return Reply(201, wire.accepted(job_id, wire.JOB_PENDING))
-        return await self._known(job_id) or _unavailable("not decided")
+        known = await self._known(job_id)
+        if known is None and self.names is not None:
+            known = await self.names.refusal(job_id)
+        return known or _unavailable("not decided")
 
     async def _commit_accepted(self, guards: list[Any], changes: list[Any]) -> Committed | Failed:
         """Sent again after a moment when the state service is at its limit, which soon passes."""
@@ -182,19 +209,41 @@
         over = self._over.get(job_id)
         if over is None:
             entry = await self._client.get(job_key(job_id))
+            owner = entry.value.get("owner") if entry is not None else None
+            if owner is not None and await self._client.get(JOB_PREFIX + owner) is None:
+                # The owner's end is the job's, though its record is not moved yet.
+                over = await self._read_over(job_id)
+                if over is None:
+                    return Reply(200, wire.job_status(job_id, wire.JOB_CANCELLED))
+                return self._final(job_id, over)
             if entry is not None:
                 done, running = await self._counts(job_id)
                 status = wire.JOB_RUNNING if running else wire.JOB_PENDING
                 return Reply(200, wire.job_status(job_id, status, done, running))
             over = await self._read_over(job_id)
             if over is None:
-                return _NOT_FOUND
+                return await self._nameless(job_id)
         return self._final(job_id, over)
 
+    async def _nameless(self, job_id: JobId) -> Reply:
+        """A job without a record of its own."""
+        status = await self.names.status(job_id) if self.names is not None else None
+        if status is None:
+            return _NOT_FOUND
+        if status == wire.JOB_CANCELLED:
+            # It may have run and ended between the readings.
+            over = await self._read_over(job_id)
+            if over is not None:
+                return self._final(job_id, over)
+        return Reply(200, wire.job_status(job_id, status))
+
     def _final(self, job_id: JobId, over: wire.KeyValue) -> Reply:
         status = over.value["status"]
         done = over.value.get("tasks", 0) if status == wire.JOB_DONE else 0
-        return Reply(200, wire.job_status(job_id, status, done, 0))
+        body = wire.job_status(job_id, status, done, 0)
+        if "outcome" in over.value:
+            body["outcome"] = over.value["outcome"]
+        return Reply(200, body)
 
     async def _read_over(self, job_id: JobId) -> wire.KeyValue | None:
         over = await self._client.get(over_key(job_id))
@@ -242,9 +291,9 @@
         if entry is None:
             over = await self._read_over(job_id)
             if over is None:
-                return _NOT_FOUND
+                return await self._cancel_nameless(job_id)
             if over.value["status"] == wire.JOB_CANCELLED:
-                self._acknowledge(job_id, Revision(over.version))
+                self.acknowledge(job_id, Revision(over.version))
             return Reply(200, wire.accepted(job_id, over.value["status"]))
         # The description stays: a new leader needs it until the job's tasks are gone.
         record = {"status": wire.JOB_CANCELLED, "spec": entry.value["spec"]}
@@ -262,16 +311,31 @@
         if isinstance(result, Failed):
             return None
         log.info("job %s cancelled", job_id)
-        self._acknowledge(job_id, result.revision)
+        self.acknowledge(job_id, result.revision)
+        return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
+
+    async def _cancel_nameless(self, job_id: JobId) -> Reply | None:
+        status = await self.names.status(job_id) if self.names is not None else None
+        if self.names is None or status is None:
+            return _NOT_FOUND
+        if status == wire.JOB_CANCELLED:
+            over = await self._read_over(job_id)
+            status = over.value["status"] if over is not None else status
+            return Reply(200, wire.accepted(job_id, status))
+        revision = await self.names.cancel(job_id)
+        if revision is None:
+            return None
+        log.info("job %s cancelled before it was released", job_id)
+        self.acknowledge(job_id, revision)
         return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
 
-    def _acknowledge(self, job_id: JobId, revision: Revision) -> None:
+    def acknowledge(self, job_id: str, revision: Revision) -> None:
         """From here on the user may be told; see `cancelled_since`."""
         self._cancelled[job_id] = revision
         while len(self._cancelled) > _CANCELLED_KEPT:
             self._cancelled.popitem(last=False)
 
-    def cancelled_since(self, revision: Revision) -> list[JobId]:
+    def cancelled_since(self, revision: Revision) -> list[str]:
         """Cancellations acknowledged here that a leader who has seen `revision` may not know."""
         return [job for job, at in self._cancelled.items() if at > revision]
 
--- a/tealrill/state/keeper.py
+++ b/tealrill/state/keeper.py
@@ -14,7 +14,16 @@
 from typing import Any, Final
 
 from tealrill import wire
-from tealrill.state.book import Book, Chunk, Job, job_key, over_key
+from tealrill.state.book import (
+    OUTCOME_CANCELLED,
+    OUTCOME_DONE,
+    Book,
+    Chunk,
+    Job,
+    Owner,
+    job_key,
+    over_key,
+)
 from tealrill.state.client import (
     Failed,
     Refused,
@@ -38,6 +47,22 @@
     """The guard on the leader's key failed: somebody else leads, or nobody."""
 
 
+@dataclass(slots=True, eq=False)
+class Joined:
+    """Changes of a subsystem that go into the leader's transactions, all or none of them."""
+
+    guards: dict[str, Revision]
+    changes: list[dict[str, Any]]
+    applied: Callable[[Revision], None]
+    """They were executed, in this revision."""
+    refused: Callable[[dict[str, wire.KeyValue | None]], None]
+    """They were not, and will not be; with the guards' keys as they were read back since."""
+
+    @property
+    def size(self) -> int:
+        return sum(len(wire.encode(change)) for change in self.changes) + 100 * len(self.guards)
+
+
 @dataclass(slots=True)
 class _Batch:
     guards: dict[str, Revision] = field(default_factory=dict)
@@ -45,6 +70,7 @@
     chunks: list[tuple[Chunk, int, int]] = field(default_factory=list)
     jobs: list[Job] = field(default_factory=list)
     garbage: list[str] = field(default_factory=list)
+    joined: list[Joined] = field(default_factory=list)
     bytes: int = 0
     complete: bool = True
     """False when something that is due had to be left out."""
@@ -69,6 +95,16 @@
         self._committed = committed
         self._job_over = job_over
         self._wake = asyncio.Event()
+        self.joined: dict[Joined, None] = {}
+        """What subsystems have to write; it goes behind ends and new bindings."""
+        self.tasks_done: Callable[[Job, list[int]], None] = lambda _, __: None
+        """Tasks of a job that others follow are written down as done."""
+        self.owner_gone: Callable[[Owner], None] = lambda _: None
+        """A guard on the record that jobs belong to failed."""
+
+    def join(self, joined: Joined) -> None:
+        self.joined[joined] = None
+        self._wake.set()
 
     def wake(self) -> None:
         """Something urgent is dirty."""
@@ -101,6 +137,9 @@
             if not self._add_chunk(batch, chunk, room):
                 break
         spare = min(room, max(0, int(self._client.writes.available(urgent=False))))
+        for joined in list(self.joined):
+            if not self._add_joined(batch, joined, spare):
+                break
         for chunk in list(self._book.lazy):
             due = chunk.dirty_since is not None and now - chunk.dirty_since >= _LAZY_S
             if due and not self._add_chunk(batch, chunk, spare):
@@ -118,14 +157,41 @@
         if len(batch.changes) + 2 > room:
             batch.complete = False
             return False
-        value = {"status": wire.JOB_DONE, "tasks": job.spec.tasks}
+        if job.outcome == OUTCOME_DONE:
+            value: dict[str, Any] = {"status": wire.JOB_DONE, "tasks": job.spec.tasks}
+        else:
+            # The description stays: a new leader needs it until the job's tasks are gone.
+            value = {
+                "status": wire.JOB_CANCELLED,
+                "outcome": job.outcome,
+                "spec": wire.plain(job.spec),
+            }
+        put = wire.put(over_key(job.id), value)
+        size = len(wire.encode(put)) + 400
+        if batch.bytes + size > _TXN_BYTES:
+            batch.complete = False
+            return False
         batch.guards[job_key(job.id)] = job.stamp
         batch.guards[over_key(job.id)] = ABSENT
-        batch.changes += [wire.delete(job_key(job.id)), wire.put(over_key(job.id), value)]
-        batch.bytes += 400
+        if job.owner is not None and job.outcome != OUTCOME_CANCELLED:
+            # Once its owner's end was told to anybody, it can't become done any more.
+            batch.guards[job.owner.key] = job.owner.stamp
+        batch.changes += [wire.delete(job_key(job.id)), put]
+        batch.bytes += size
         batch.jobs.append(job)
         return True
 
+    def _add_joined(self, batch: _Batch, joined: Joined, room: int) -> bool:
+        size = joined.size
+        if len(batch.changes) + len(joined.changes) > room or batch.bytes + size > _TXN_BYTES:
+            batch.complete = False
+            return False
+        batch.guards.update(joined.guards)
+        batch.changes += joined.changes
+        batch.bytes += size
+        batch.joined.append(joined)
+        return True
+
     def _add_chunk(self, batch: _Batch, chunk: Chunk, room: int) -> bool:
         change = wire.put(chunk.key, self._book.value(chunk))
         size = len(wire.encode(change)) + 200
@@ -136,6 +202,8 @@
         if chunk.new_bindings:
             # Nothing may be bound for a job whose user was already told that it is cancelled.
             batch.guards[job_key(chunk.job.id)] = chunk.job.stamp
+            if chunk.job.owner is not None:
+                batch.guards[chunk.job.owner.key] = chunk.job.owner.stamp
         batch.changes.append(change)
         batch.chunks.append((chunk, chunk.version, chunk.new_bindings))
         batch.bytes += size
@@ -169,6 +237,10 @@
             chunk.stamp = revision
             chunk.committed = max(chunk.committed, version)
             chunk.new_bindings -= new_bindings
+            if chunk.news:
+                done = [index for since, index in chunk.news if since <= version]
+                chunk.news = [news for news in chunk.news if news[0] > version]
+                self.tasks_done(chunk.job, done)
             if chunk.job.id not in self._book.jobs:
                 # The job went away meanwhile; its chunk was written once more.
                 self._book.garbage[chunk.key] = revision
@@ -186,6 +258,9 @@
         for job in batch.jobs:
             self._book.ended(job)
             self._job_over(job)
+        for joined in batch.joined:
+            self.joined.pop(joined, None)
+            joined.applied(revision)
         self._committed([chunk for chunk, _, new_bindings in batch.chunks if new_bindings])
 
     async def _reread(self, batch: _Batch, keys: list[str]) -> None:
@@ -194,9 +269,13 @@
         jobs = {job.id: job for job in batch.jobs}
         jobs.update({chunk.job.id: chunk.job for chunk, _, _ in batch.chunks})
         by_key = {job_key(job.id): job for job in jobs.values()}
+        owners = {job.owner.key: job.owner for job in jobs.values() if job.owner is not None}
+        found: dict[str, wire.KeyValue | None] = {}
         for key in keys:
-            entry = await self._read(key)
+            entry = found[key] = await self._read(key)
             stamp = ABSENT if entry is None else Revision(entry.version)
+            if key in owners and stamp != owners[key].stamp:
+                self.owner_gone(owners[key])
             if key == LEADER_KEY:
                 if stamp != self._mine.stamp:
                     raise Deposed
@@ -210,6 +289,14 @@
                 else:
                     self._book.garbage[key] = stamp
 
+        for joined in batch.joined:
+            if any(
+                key in found and _stamp(found[key]) != stamp for key, stamp in joined.guards.items()
+            ):
+                # Executed or not, it can't be executed any more.
+                self.joined.pop(joined, None)
+                joined.refused({key: found[key] for key in joined.guards if key in found})
+
     async def _job_changed(self, job: Job, stamp: Revision) -> None:
         """The job's record is gone: by this leader's own end of it, or by a cancellation."""
         if stamp == job.stamp or job.id not in self._book.jobs:
@@ -219,6 +306,7 @@
             self._book.ended(job)
             self._job_over(job)
         elif over is not None:
+            job.outcome = over.value.get("outcome", OUTCOME_CANCELLED)
             self._book.cancel(job)
             self._job_over(job)
 
@@ -229,3 +317,7 @@
             except StateError as error:
                 log.debug("reading %s back: %s", key, error)
                 await asyncio.sleep(_BACK_OFF_S)
+
+
+def _stamp(entry: wire.KeyValue | None) -> Revision:
+    return ABSENT if entry is None else Revision(entry.version)
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -19,7 +19,7 @@
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import StateClient, StateError
 from tealrill.state.election import Leadership
-from tealrill.types import JobId, Revision, Steady, Token, steady_now, surely_until
+from tealrill.types import Revision, Steady, Token, steady_now, surely_until
 
 log = logging.getLogger(__name__)
 
@@ -70,7 +70,7 @@
         settings: Settings,
         client: StateClient,
         election: Standing,
-        cancelled_since: Callable[[Revision], list[JobId]] = lambda _: [],
+        cancelled_since: Callable[[Revision], list[str]] = lambda _: [],
         now: Callable[[], Steady] = steady_now,
     ) -> None:
         self._client = client
@@ -173,7 +173,7 @@
             return Answer(False, "the state service answers here")
         why = self._election.promise(Token(request.term), Steady(self._now() + PROMISE_S))
         cancelled = self._cancelled_since(Revision(request.seen))
-        return Answer(not why, why, [str(job) for job in cancelled])
+        return Answer(not why, why, cancelled)
 
     async def _state_answers(self) -> bool:
         try:
--- a/tests/test_truce.py
+++ b/tests/test_truce.py
@@ -15,7 +15,7 @@
 from tealrill.state.client import Committed, Failed, Refused, StateClient, Unknown
 from tealrill.state.election import LEADER_KEY, TERM_KEY, Election, KnownLeader, Leadership
 from tealrill.state.truce import PROMISE_S, Answer, Presence, Request, Truce
-from tealrill.types import JobId, LeaseId, Revision, Steady, Token
+from tealrill.types import LeaseId, Revision, Steady, Token
 from tests.samples import SETTINGS
 
 
@@ -144,8 +144,8 @@
     values = {**SETTINGS, **changes}
     parsed = settings.parse(orjson.dumps(values))
 
-    def cancelled_since(revision: Revision) -> list[JobId]:
-        return [JobId("wk-1")] if revision < 50 else []
+    def cancelled_since(revision: Revision) -> list[str]:
+        return ["wk-1"] if revision < 50 else []
 
     return Truce(parsed, cast(StateClient, state), election, cancelled_since, clock)
 
