Task graphs: nodes are ordinary jobs that wait for other jobs

Need: subset builds and route planning are drawn as graphs, and are to run on the same core under the same priorities, limits and retry rules as every job.

A graph is claimed, filled in parts and accepted by one transaction; its nodes are known from then on. The leader writes a node's job record once what it waits for has come, whole or task by task, guarded by the graph's head; a cancelled graph moves its head, after which nothing of it can be released, bound or called done. Failed and skipped nodes, clean-up nodes, both answers to a failure, expiry of graphs never sealed.

Measured: whole nodes on loopback run chains, fan-outs task by task, failures past their bound and cancellations (tests/test_graphs_node.py).

--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -21,6 +21,7 @@
 from tealrill.fleet.cloud import Cloud, CloudError
 from tealrill.leader import Leader
 from tealrill.scheduler.estimates import Estimates
+from tealrill.seam import Subsystem
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import StateClient
 from tealrill.state.deputy import Deputy
@@ -69,6 +70,23 @@
         self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
         self._fronts: list[Front] = []
+        self.subsystems = self._switched_on()
+        for subsystem in self.subsystems:
+            if subsystem.names is not None:
+                self.intake.names = subsystem.names
+
+    def _switched_on(self) -> list[Subsystem]:
+        """What is off is not even imported."""
+        found: list[Subsystem] = []
+        if self._features.graphs.on:
+            from tealrill.graphs.subsystem import graphs
+
+            found.append(
+                graphs(
+                    self._settings, self._features.graphs, self._client, self.intake, self.election
+                )
+            )
+        return found
 
     # -- running --------------------------------------------------------------------------------
 
@@ -82,6 +100,9 @@
             group.create_task(self._fetch_catalogue())
             group.create_task(self._check_hearing())
             group.create_task(self._close_idle())
+            for subsystem in self.subsystems:
+                for loop in subsystem.loops:
+                    group.create_task(loop())
 
     def _listen(self) -> None:
         relay = Relay(self.intake, self._settings, lambda: self._client.failing)
@@ -95,6 +116,9 @@
             (PING_PATH, PingHandler, {"truce": self._truce}),
             *_user_rules(PEER_PREFIX, self.intake),
         ]
+        for subsystem in self.subsystems:
+            users += subsystem.user_routes
+            operators += subsystem.peer_routes
         most_held = int(_HELD_PART * self._settings.params.quota.ram_mb * 1024 * 1024)
         for rules, where, take_report in (
             (users, self._settings.client_listen, self.take_report),
@@ -125,7 +149,13 @@
                 continue
             self._cloud.set_leading(True)
             leader = Leader(
-                self._settings, self._client, self._cloud, self.election, mine, self._estimates
+                self._settings,
+                self._client,
+                self._cloud,
+                self.election,
+                mine,
+                self._estimates,
+                [subsystem.term for subsystem in self.subsystems if subsystem.term is not None],
             )
             self.leader = leader
             term = asyncio.create_task(leader.run())
@@ -239,6 +269,8 @@
             shown["jobs"] = len(leader.book.jobs)
             shown["head"] = plan.head
             shown["waiting"] = {job.id: left for job, left in plan.unplaced}
+            for part in leader.parts:
+                shown.update(part.describe())
         return shown
 
 
--- a/tealrill/features.py
+++ b/tealrill/features.py
@@ -26,8 +26,6 @@
     """Nodes of one graph."""
     most_edges: Annotated[int, Meta(ge=1, le=1_000_000)] = 100_000
     """Edges of one graph."""
-    most_graphs: Annotated[int, Meta(ge=1, le=10_000)] = 200
-    """Graphs that are not over, open ones included."""
     open_s: Annotated[float, Meta(ge=60.0, le=86_400.0)] = 3600.0
     """A graph that was begun and not sealed is removed after so many seconds."""
 
--- /dev/null
+++ b/tealrill/graphs/records.py
@@ -0,0 +1,230 @@
+"""What of a graph is kept in the state service, and how it is read back.
+
+| key | holds |
+| --- | --- |
+| `job/GRAPH` | the head; moved to `over/GRAPH` once, as a job's record is |
+| `over/GRAPH` | how the graph ended; kept for ever |
+| `part/GRAPH/PPPPP.CC` | fragment CC of part PPPPP: nodes, compressed; never changed |
+| `job/GRAPH.word` | a word to the leader: the last gated node that its user cancelled |
+
+A graph's id has no hyphen, so neither key is a job's. Descriptions are alike within a graph and
+compress to a fifth or less; a state service that takes 20 changes of 4 KiB a second would otherwise
+need minutes for 10,000 nodes.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import zlib
+from collections.abc import Iterable, Sequence
+from typing import Any, Final, Literal
+
+import msgspec
+import orjson
+
+from tealrill import wire
+from tealrill.graphs.model import Node, Retries
+from tealrill.state.book import JOB_PREFIX, OVER_PREFIX
+from tealrill.types import JobId
+
+PART_PREFIX: Final = "part/"
+VERSION: Final = 1
+_WORD: Final = ".word"
+_FRAGMENT_REST: Final = 300
+"""Bytes of a fragment's value beside the fragment itself."""
+_MOST_INFLATED: Final = 4 * 1024 * 1024
+"""A part is at most a body of 64 KiB; what claims to be more is no part of ours."""
+
+
+class BadGraphRecord(Exception):
+    """A record that this version did not write."""
+
+
+OPEN: Final = "open"
+ACCEPTED: Final = "accepted"
+EXPIRED: Final = "expired"
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """`job/GRAPH`."""
+
+    v: int
+    status: Literal["open", "accepted", "expired"]
+    at: float
+    """When it was begun; when it was accepted, once it is."""
+    digest: str
+    """Of the submission that began it."""
+    defaults: dict[str, Any] = {}
+    on_failure: Literal["finish", "stop"] = "finish"
+    due_s: float | None = None
+    retries: Retries = 3
+    nodes: int = 0
+    edges: int = 0
+    parts: int = 0
+
+
+class Over(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """`over/GRAPH`. A node without a record of its own never ran and never will."""
+
+    v: int
+    status: Literal["done", "failed", "aborted"]
+    at: float
+    digest: str
+    nodes: int = 0
+    edges: int = 0
+    parts: int = 0
+    why: str = ""
+    counts: dict[str, int] | None = None
+    """Nodes by how they ended; None if it ended before all of them had."""
+
+
+class Fragment(msgspec.Struct, frozen=True, kw_only=True):
+    """`part/GRAPH/PPPPP.CC`."""
+
+    v: int
+    of: int
+    nodes: int
+    digest: str
+    z: str
+
+
+def graph_key(graph: str) -> str:
+    return JOB_PREFIX + graph
+
+
+def graph_over_key(graph: str) -> str:
+    return OVER_PREFIX + graph
+
+
+def word_key(graph: str) -> str:
+    return JOB_PREFIX + graph + _WORD
+
+
+def graph_of_word(key: str) -> str | None:
+    """The graph that a word is about; None for any other key under `job/`."""
+    name = key.removeprefix(JOB_PREFIX)
+    return name.removesuffix(_WORD) if name.endswith(_WORD) else None
+
+
+def parts_prefix(graph: str) -> str:
+    return f"{PART_PREFIX}{graph}/"
+
+
+def fragment_key(graph: str, part: int, fragment: int) -> str:
+    return f"{PART_PREFIX}{graph}/{part:05d}.{fragment:02d}"
+
+
+def part_of_key(key: str) -> tuple[int, int]:
+    """The part's and the fragment's number; raises `BadGraphRecord`."""
+    part, dot, fragment = key.rpartition("/")[2].partition(".")
+    if not dot or not part.isdigit() or not fragment.isdigit():
+        raise BadGraphRecord(f"unknown key {key}")
+    return int(part), int(fragment)
+
+
+def read_head(value: Any) -> Head:
+    """Raises `BadGraphRecord`, also for a version that this program does not know."""
+    return _read(value, Head)
+
+
+def read_over(value: Any) -> Over:
+    return _read(value, Over)
+
+
+def _read(value: Any, kind: type[wire.T]) -> wire.T:
+    version = value.get("v") if isinstance(value, dict) else None
+    if version != VERSION:
+        raise BadGraphRecord(f"version {version!r}; this program reads {VERSION}")
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        raise BadGraphRecord(str(error)) from None
+
+
+def digest(message: Any) -> str:
+    """Of a message's content, whatever order its fields came in."""
+    if isinstance(message, msgspec.Struct):
+        message = msgspec.to_builtins(message)
+    content = orjson.dumps(message, option=orjson.OPT_SORT_KEYS)
+    return hashlib.blake2b(content, digest_size=16).hexdigest()
+
+
+def pack(nodes: Sequence[Node], value_bytes: int) -> list[dict[str, Any]]:
+    """A part as the values of its fragments, each at most `value_bytes` of JSON."""
+    plain = msgspec.to_builtins(list(nodes))
+    packed = base64.b64encode(zlib.compress(orjson.dumps(plain), 6)).decode()
+    size = value_bytes - _FRAGMENT_REST
+    pieces = [packed[at : at + size] for at in range(0, len(packed), size)]
+    whole = digest(plain)
+    return [
+        msgspec.to_builtins(
+            Fragment(v=VERSION, of=len(pieces), nodes=len(nodes), digest=whole, z=piece)
+        )
+        for piece in pieces
+    ]
+
+
+class Packed(msgspec.Struct, frozen=True):
+    """A part as the leader keeps it: what it needs of 10,000 descriptions at a time is few."""
+
+    nodes: int
+    digest: str
+    content: bytes
+
+
+def unpack(packed: Packed) -> list[Node]:
+    """The nodes of a part; raises `BadGraphRecord`."""
+    try:
+        inflater = zlib.decompressobj()
+        content = inflater.decompress(packed.content, _MOST_INFLATED)
+        return msgspec.convert(orjson.loads(content), list[Node])
+    except (zlib.error, orjson.JSONDecodeError, msgspec.ValidationError) as error:
+        raise BadGraphRecord(f"a part can't be read: {error}") from None
+
+
+def gather(entries: Iterable[wire.Entry]) -> dict[int, Packed]:
+    """Whole parts by number, from a reading of all fragments; raises `BadGraphRecord`."""
+    pieces: dict[int, dict[int, Fragment]] = {}
+    for entry in entries:
+        part, number = part_of_key(entry.key)
+        pieces.setdefault(part, {})[number] = _read(entry.value, Fragment)
+    found: dict[int, Packed] = {}
+    for part, fragments in pieces.items():
+        first = fragments.get(0)
+        if first is None or len(fragments) != first.of:
+            raise BadGraphRecord(f"part {part} has {len(fragments)} fragments")
+        try:
+            content = base64.b64decode(
+                "".join(fragments[number].z for number in range(first.of)), validate=True
+            )
+        except (binascii.Error, KeyError) as error:
+            raise BadGraphRecord(f"part {part}: {error}") from None
+        found[part] = Packed(first.nodes, first.digest, content)
+    return found
+
+
+class NodeJob(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What `job/NODE` holds beyond a plain job's record."""
+
+    owner: str
+    each: list[JobId] = []
+    """The jobs for whose tasks it waits one by one."""
+    retries: Retries = 3
+    due_s: float | None = None
+    tail_s: float = 0.0
+
+
+NODE_JOB_BYTES: Final = 200
+"""Most of a node's record beyond a plain job's, without `each`."""
+EACH_BYTES: Final = 48
+"""Most that one name in `each` takes."""
+
+
+def read_node_job(value: dict[str, Any]) -> NodeJob:
+    """Raises `BadGraphRecord`."""
+    try:
+        return msgspec.convert(value, NodeJob)
+    except msgspec.ValidationError as error:
+        raise BadGraphRecord(str(error)) from None
--- /dev/null
+++ b/tealrill/graphs/subsystem.py
@@ -0,0 +1,70 @@
+"""Graphs as the wiring takes them."""
+
+from __future__ import annotations
+
+from tealrill import wire
+from tealrill.features import GraphFeatures
+from tealrill.graphs.api import COUNTS_PATH, peer_routes, user_routes
+from tealrill.graphs.intake import GraphIntake
+from tealrill.graphs.term import GraphTerm
+from tealrill.http import Client, NoAnswer
+from tealrill.seam import Subsystem, Term, TermPart
+from tealrill.settings import Settings, parse_address
+from tealrill.state.client import StateClient
+from tealrill.state.election import Election
+from tealrill.state.intake import Intake
+from tealrill.types import steady_now
+
+_ASK_S = 0.5
+
+
+class Counts:
+    """A live graph's nodes by state: from the own term, or from the node that leads."""
+
+    def __init__(self, settings: Settings, election: Election) -> None:
+        self._election = election
+        self._peers = {
+            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
+        }
+        self.term: GraphTerm | None = None
+
+    def here(self, graph: str) -> dict[str, int] | None:
+        if self.term is None or self._election.leading(steady_now()) is None:
+            return None
+        return self.term.counts(graph)
+
+    async def anywhere(self, graph: str) -> dict[str, int] | None:
+        counts = self.here(graph)
+        known = self._election.known
+        peer = self._peers.get(known.host) if known is not None else None
+        if counts is not None or peer is None:
+            return counts
+        try:
+            answer = await peer.request("GET", f"{COUNTS_PATH}/{graph}", timeout_s=_ASK_S)
+            return wire.decode(answer.body, dict[str, int]) if answer.status == 200 else None
+        except (NoAnswer, wire.Malformed):
+            return None
+
+
+def graphs(
+    settings: Settings,
+    features: GraphFeatures,
+    client: StateClient,
+    intake: Intake,
+    election: Election,
+) -> Subsystem:
+    """The subsystem for one node."""
+    counts = Counts(settings, election)
+    asked = GraphIntake(client, settings, features, intake, counts.anywhere)
+
+    def term(given: Term) -> TermPart:
+        counts.term = GraphTerm(given, features)
+        return counts.term
+
+    return Subsystem(
+        name="graphs",
+        user_routes=user_routes(asked),
+        peer_routes=peer_routes(counts.here),
+        names=asked,
+        term=term,
+    )
--- /dev/null
+++ b/tealrill/graphs/term.py
@@ -0,0 +1,615 @@
+"""The leader's part in graphs: releases nodes, hears how they end, ends graphs, clears up.
+
+Wanted: every node whose wait is over is an ordinary job, every graph whose nodes are over is over,
+every job whose graph is over is stopped. What is known comes from the watch on `job/`, from the
+keeper's transactions and, once a graph, from its parts and its nodes' ends. Every write is guarded
+by the leader's key and by the head of its graph (`Owner`), which nobody changes between acceptance
+and end: so nothing is released, bound or done once somebody may have been told that the graph is
+cancelled. What a guard refuses is read back and taken for what it is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from bisect import bisect_right
+from collections import OrderedDict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from itertools import accumulate, islice
+from typing import Any, Final
+
+import msgspec
+
+from tealrill import wire
+from tealrill.features import GraphFeatures
+from tealrill.graphs import records
+from tealrill.graphs.model import BadGraph, Node, Shape, node_id, node_spec, parse_node_id, resolve
+from tealrill.graphs.records import BadGraphRecord, Head, Over, Packed
+from tealrill.graphs.tracker import (
+    OVER_CANCELLED,
+    OVER_DONE,
+    OVER_FAILED,
+    RELEASED,
+    Progress,
+    outcome_state,
+)
+from tealrill.scheduler.model import JobView
+from tealrill.seam import Term
+from tealrill.state.book import (
+    JOB_PREFIX,
+    OUTCOME_CANCELLED,
+    OUTCOME_DONE,
+    OUTCOME_SKIPPED,
+    Job,
+    Owner,
+    job_key,
+    over_key,
+)
+from tealrill.state.client import StateError
+from tealrill.state.keeper import Joined
+from tealrill.types import ABSENT, JobId, Revision, Steady, parse_job_id, steady_now, wall_now
+
+log = logging.getLogger(__name__)
+
+_BACKLOG: Final = 256
+"""Released nodes of a graph that still have tasks in the queue. More would change no start, while
+every pass looks at all that is in the queue."""
+_IN_FLIGHT: Final = 32
+"""Releases of a graph that wait for their transaction; the rest stays in the order of its paths."""
+_GAP_S: Final = 0.1
+_BACKLOG_EVERY_S: Final = 0.5
+_RETRY_S: Final = 1.0
+_EXPIRY_EVERY_S: Final = 30.0
+_PARTS_KEPT: Final = 8
+"""Unpacked parts that are kept for the next releases."""
+_NEAR: Final = 64
+"""Nodes about to be released for which machines are wished for ahead."""
+
+
+@dataclass(eq=False)
+class Live:
+    """An accepted graph that is not over, as its leader knows it."""
+
+    name: str
+    head: Head
+    owner: Owner
+    parts: list[Packed]
+    progress: Progress
+    first: list[int] = field(default_factory=list)
+    """The number of each part's first node."""
+    jobs: dict[int, Job] = field(default_factory=dict)
+    """Released nodes that are not over."""
+    in_flight: int = 0
+    ending: bool = False
+    stopped_by: str = ""
+    """The failed node for which all of it is to be stopped."""
+    unpacked: OrderedDict[int, list[Node]] = field(default_factory=OrderedDict)
+    views: dict[int, JobView] = field(default_factory=dict)
+
+    def node(self, index: int) -> Node:
+        part = bisect_right(self.first, index) - 1
+        nodes = self.unpacked.get(part)
+        if nodes is None:
+            nodes = self.unpacked[part] = records.unpack(self.parts[part])
+            while len(self.unpacked) > _PARTS_KEPT:
+                self.unpacked.popitem(last=False)
+        self.unpacked.move_to_end(part)
+        return nodes[index - self.first[part]]
+
+    def spec(self, index: int) -> wire.JobSpec:
+        return node_spec(self.name, index, self.head.defaults, self.node(index))
+
+    def due_s(self, index: int, spec: wire.JobSpec, now: float) -> float | None:
+        """The node's deadline from now: its own, or what the graph's leaves before the path
+        behind it."""
+        due = [] if spec.deadline_s is None else [spec.deadline_s]
+        if self.head.due_s is not None:
+            left_s = self.head.at + self.head.due_s - self.progress.tail_s[index] - now
+            due.append(max(0.0, left_s))
+        return min(due, default=None)
+
+    def backlog(self) -> int:
+        return self.in_flight + sum(job.waiting > 0 for job in self.jobs.values())
+
+
+def _shape(head: Head, parts: Sequence[Packed]) -> Shape:
+    return resolve(head.defaults, head.retries, (records.unpack(part) for part in parts))
+
+
+class GraphTerm:
+    """All graphs, for one term."""
+
+    def __init__(self, term: Term, features: GraphFeatures) -> None:
+        self._term = term
+        self._features = features
+        self._wake = asyncio.Event()
+        self._heads: dict[str, tuple[Head, Owner]] = {}
+        """Accepted graphs that are not over."""
+        self._drafts: dict[str, tuple[Head, Revision]] = {}
+        """Graphs that are open or expired."""
+        self._expiring: set[str] = set()
+        self._live: dict[str, Live] = {}
+        self._heard: dict[str, list[tuple[int, int]]] = {}
+        """Ends that were heard of while a graph was being read."""
+        self._orphans: dict[JobId, tuple[Revision, wire.JobSpec]] = {}
+        """Records of jobs whose graph is over."""
+        self._burials: set[JobId] = set()
+        self._words: dict[str, Revision] = {}
+        self._unreadable: set[str] = set()
+
+    # -- what is heard --------------------------------------------------------------------------
+
+    def read(self, entries: Sequence[wire.Entry]) -> None:
+        present = {entry.key: entry for entry in entries}
+        # What was missed of the nodes' ends is read again with the graph.
+        self._live.clear()
+        self._words.clear()
+        for name in [*self._heads, *self._drafts]:
+            if records.graph_key(name) not in present:
+                self.seen(records.graph_key(name), None, ABSENT)
+        for entry in entries:
+            self.seen(entry.key, entry.value, Revision(entry.version))
+        self._wake.set()
+
+    def seen(self, key: str, value: Any, version: Revision) -> None:
+        about = records.graph_of_word(key)
+        if about is not None:
+            self._take_word(about, value, version)
+        elif value is None:
+            self._gone(key.removeprefix(JOB_PREFIX), "its record is gone")
+        else:
+            self._take_head(key.removeprefix(JOB_PREFIX), value, version)
+        self._wake.set()
+
+    def _take_word(self, name: str, value: Any, version: Revision) -> None:
+        if value is None:
+            self._words.pop(name, None)
+            return
+        self._words[name] = version
+        index = value.get("cancelled") if isinstance(value, dict) else None
+        if isinstance(index, int):
+            self._settle(name, index, OVER_CANCELLED)
+
+    def _take_head(self, name: str, value: Any, version: Revision) -> None:
+        if name in self._heads and self._heads[name][1].stamp == version:
+            return
+        try:
+            head = records.read_head(value)
+        except BadGraphRecord as error:
+            # Its jobs are held: `take` finds no owner that it may rely on.
+            if name not in self._unreadable:
+                log.error("graph %s: %s", name, error)
+            self._unreadable.add(name)
+            return
+        if head.status == records.ACCEPTED:
+            self._drafts.pop(name, None)
+            self._heads[name] = (head, Owner(records.graph_key(name), version, name))
+            self._live.pop(name, None)
+        else:
+            self._drafts[name] = (head, version)
+
+    def take(self, job: Job, value: dict[str, Any]) -> bool:
+        node = parse_node_id(job.id)
+        try:
+            kept = records.read_node_job(value)
+        except BadGraphRecord as error:
+            log.error("record of node %s: %s", job.id, error)
+            return False
+        if node is None or node[0] != kept.owner or kept.owner in self._unreadable:
+            return False
+        known = self._heads.get(kept.owner)
+        if known is None:
+            # The graph ended before this: its record goes where its graph's went.
+            job.cancelled = True
+            job.outcome = OUTCOME_CANCELLED
+            self._orphan(job)
+            return True
+        job.owner = known[1]
+        job.most_errors = kept.retries
+        job.due_s = kept.due_s
+        job.tail_s = kept.tail_s
+        if kept.each:
+            self._term.book.close_tasks(job)
+        live = self._live.get(kept.owner)
+        if live is not None:
+            self._attach(live, node[1], job)
+        return True
+
+    def over(self, job: Job) -> None:
+        node = parse_node_id(job.id)
+        if job.owner is None or node is None:
+            return
+        self._settle(job.owner.name, node[1], outcome_state(job.outcome))
+
+    def cancelled(self, name: str) -> None:
+        if name in self._heads:
+            self._gone(name, "another node acknowledged its cancellation")
+
+    def tasks_done(self, job: Job, tasks: list[int]) -> None:
+        """Tasks of a followed node are written down as done."""
+        node = parse_node_id(job.id)
+        live = self._live.get(job.owner.name) if job.owner is not None else None
+        if live is None or node is None:
+            return
+        for follower, task in live.progress.tasks_done(node[1], tasks):
+            if follower in live.jobs:
+                self._term.book.open_task(live.jobs[follower], task)
+        self._wake.set()
+
+    def owner_gone(self, owner: Owner) -> None:
+        """A guard on a graph's head failed."""
+        known = self._heads.get(owner.name)
+        if known is not None and known[1] is owner:
+            self._gone(owner.name, "its record was found changed")
+
+    # -- nodes ----------------------------------------------------------------------------------
+
+    def _attach(self, live: Live, index: int, job: Job) -> None:
+        """A node's job is in the book."""
+        progress = live.progress
+        progress.released(index)
+        live.views.pop(index, None)
+        if progress.state[index] != RELEASED:
+            # While its release was on its way, what it waits for became impossible.
+            self._term.book.give_up(job, OUTCOME_SKIPPED)
+        live.jobs[index] = job
+        if progress.is_followed(index):
+            done = self._term.book.follow(job, steady_now())
+            self._opened(live, progress.tasks_done(index, done))
+        if job.opened is not None:
+            for task in progress.open_elements(index):
+                self._term.book.open_task(job, task)
+
+    def _opened(self, live: Live, freed: list[tuple[int, int]]) -> None:
+        for follower, task in freed:
+            if follower in live.jobs:
+                self._term.book.open_task(live.jobs[follower], task)
+
+    def _settle(self, name: str, index: int, state: int) -> None:
+        live = self._live.get(name)
+        if live is None:
+            if name in self._heads:
+                self._heard.setdefault(name, []).append((index, state))
+            return
+        if not 0 <= index < live.progress.shape.nodes:
+            return
+        live.jobs.pop(index, None)
+        live.views.pop(index, None)
+        for follower in live.progress.settle(index, state):
+            job = live.jobs.get(follower)
+            if job is not None:
+                for task in live.progress.open_elements(follower):
+                    self._term.book.open_task(job, task)
+        if state == OVER_FAILED and live.head.on_failure == "stop" and not live.stopped_by:
+            live.stopped_by = live.progress.shape.keys[index]
+        for stuck in live.progress.stuck:
+            if stuck in live.jobs:
+                self._term.book.give_up(live.jobs[stuck], OUTCOME_SKIPPED)
+        live.progress.stuck.clear()
+        self._wake.set()
+
+    def _orphan(self, job: Job) -> None:
+        self._orphans[job.id] = (job.stamp, job.spec)
+        self._wake.set()
+
+    def _gone(self, name: str, why: str) -> None:
+        """A graph's head is gone: nothing of it may run."""
+        self._drafts.pop(name, None)
+        self._unreadable.discard(name)
+        self._heard.pop(name, None)
+        known = self._heads.pop(name, None)
+        self._live.pop(name, None)
+        if known is None:
+            return
+        jobs = [job for job in self._term.book.jobs.values() if job.owner is known[1]]
+        if jobs:
+            log.info("graph %s is over (%s); %d of its jobs are stopped", name, why, len(jobs))
+        for job in jobs:
+            if not job.cancelled:
+                job.outcome = OUTCOME_CANCELLED
+                self._orphan(job)
+                self._term.stop(job)
+
+    # -- the loop -------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        while True:
+            self._wake.clear()
+            pause_s: float | None = None
+            try:
+                for name in [n for n in self._heads if n not in self._live]:
+                    await self._load(name)
+                for name in [
+                    n for n, (h, _) in self._drafts.items() if h.status == records.EXPIRED
+                ]:
+                    await self._clear_up(name)
+            except StateError as error:
+                log.debug("reading graphs: %s", error)
+                pause_s = _RETRY_S
+            if self._term.valid():
+                self._advance()
+            if pause_s is None:
+                pause_s = self._pause_s()
+            await asyncio.sleep(_GAP_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
+
+    def _pause_s(self) -> float | None:
+        """Until when nothing needs a look if nothing is heard; None: for ever."""
+        if any(live.progress.has_ready for live in self._live.values()):
+            return _BACKLOG_EVERY_S
+        return _EXPIRY_EVERY_S if self._drafts else None
+
+    def _advance(self) -> None:
+        for live in list(self._live.values()):
+            if live.stopped_by and not live.ending:
+                self._end(live, "failed", f"node {live.stopped_by!r} failed", None)
+            elif not live.ending:
+                self._release(live)
+                if live.progress.over and not live.jobs and not live.in_flight:
+                    counts = live.progress.counted()
+                    self._end(live, _final_status(counts), "", counts)
+        for job_id in islice((j for j in self._orphans if j not in self._burials), _IN_FLIGHT):
+            if len(self._burials) >= _IN_FLIGHT:
+                break
+            self._bury(job_id)
+        self._expire()
+        for name, version in list(self._words.items()):
+            if name not in self._heads:
+                self._forget_word(name, version)
+
+    # -- releases -------------------------------------------------------------------------------
+
+    def _release(self, live: Live) -> None:
+        if not live.progress.has_ready:
+            return
+        room = min(_IN_FLIGHT - live.in_flight, _BACKLOG - live.backlog())
+        for _ in range(room):
+            index = live.progress.next_ready()
+            if index is None:
+                return
+            self._join_release(live, index)
+
+    def _join_release(self, live: Live, index: int) -> None:
+        now = wall_now()
+        spec = live.spec(index)
+        job = JobId(spec.id)
+        each = [node_id(live.name, up) for up in live.progress.waits_each(index)]
+        kept = records.NodeJob(
+            owner=live.name,
+            each=each,
+            retries=live.progress.shape.retries[index],
+            due_s=live.due_s(index, spec, now),
+            tail_s=round(live.progress.tail_s[index], 1),
+        )
+        value = {"spec": wire.plain(spec), "at": now, **msgspec.to_builtins(kept)}
+
+        def applied(_: Revision) -> None:
+            live.in_flight -= 1
+            live.progress.released(index)
+            self._wake.set()
+
+        def refused(found: dict[str, wire.KeyValue | None]) -> None:
+            live.in_flight -= 1
+            over = found.get(over_key(job))
+            if over is not None:
+                # Cancelled while it was gated, or released and ended by a late transaction.
+                self._settle(live.name, index, _state_of(over.value))
+            elif found.get(job_key(job)) is not None:
+                live.progress.released(index)
+            else:
+                live.progress.put_back(index)
+            self._wake.set()
+
+        live.in_flight += 1
+        self._term.keeper.join(
+            Joined(
+                {live.owner.key: live.owner.stamp, job_key(job): ABSENT, over_key(job): ABSENT},
+                [wire.put(job_key(job), value)],
+                applied,
+                refused,
+            )
+        )
+
+    # -- ends -----------------------------------------------------------------------------------
+
+    def _end(self, live: Live, status: Any, why: str, counts: dict[str, int] | None) -> None:
+        head = live.head
+        over = Over(
+            v=records.VERSION,
+            status=status,
+            at=wall_now(),
+            digest=head.digest,
+            nodes=head.nodes,
+            edges=head.edges,
+            parts=head.parts,
+            why=why,
+            counts=counts,
+        )
+        key = records.graph_over_key(live.name)
+
+        def applied(_: Revision) -> None:
+            log.info("graph %s is %s %s", live.name, status, why)
+            self._gone(live.name, f"it is {status}")
+            self._wake.set()
+
+        def refused(found: dict[str, wire.KeyValue | None]) -> None:
+            live.ending = False
+            if key in found and found[key] is not None:
+                self._gone(live.name, "it was ended by another node")
+            self._wake.set()
+
+        live.ending = True
+        self._term.keeper.join(
+            Joined(
+                {live.owner.key: live.owner.stamp, key: ABSENT},
+                [wire.delete(live.owner.key), wire.put(key, msgspec.to_builtins(over))],
+                applied,
+                refused,
+            )
+        )
+
+    def _bury(self, job: JobId) -> None:
+        """Moves the record of a job whose graph is over to where its graph's is."""
+        stamp, spec = self._orphans[job]
+        value = {
+            "status": wire.JOB_CANCELLED,
+            "outcome": OUTCOME_CANCELLED,
+            "spec": wire.plain(spec),
+        }
+
+        def applied(_: Revision) -> None:
+            self._burials.discard(job)
+            self._orphans.pop(job, None)
+            self._wake.set()
+
+        def refused(_: dict[str, wire.KeyValue | None]) -> None:
+            # Its record is gone already: cancelled by itself, or done before its graph ended.
+            applied(ABSENT)
+
+        self._burials.add(job)
+        self._term.keeper.join(
+            Joined(
+                {job_key(job): stamp, over_key(job): ABSENT},
+                [wire.delete(job_key(job)), wire.put(over_key(job), value)],
+                applied,
+                refused,
+            )
+        )
+
+    def _forget_word(self, name: str, version: Revision) -> None:
+        key = records.word_key(name)
+
+        def done(_: object) -> None:
+            self._words.pop(name, None)
+
+        del self._words[name]
+        self._term.keeper.join(Joined({key: version}, [wire.delete(key)], done, done))
+
+    # -- graphs that were never sealed ----------------------------------------------------------
+
+    def _expire(self) -> None:
+        now = wall_now()
+        for name, (head, version) in self._drafts.items():
+            late = head.status == records.OPEN and now - head.at > self._features.open_s
+            if late and name not in self._expiring:
+                self._join_expiry(name, head, version)
+
+    def _join_expiry(self, name: str, head: Head, version: Revision) -> None:
+        """From here on no part can be added to it, so that its parts can be removed."""
+        log.info("graph %s was not sealed for %.0f s: removed", name, self._features.open_s)
+        expired = msgspec.structs.replace(head, status="expired")
+        key = records.graph_key(name)
+
+        def done(_: object) -> None:
+            self._expiring.discard(name)
+
+        self._expiring.add(name)
+        changes = [wire.put(key, msgspec.to_builtins(expired))]
+        self._term.keeper.join(Joined({key: version}, changes, done, done))
+
+    async def _clear_up(self, name: str) -> None:
+        """Removes the parts of an expired graph, a few at a time, then its head."""
+        if name in self._expiring:
+            return
+        _, version = self._drafts[name]
+        entries, _ = await self._term.client.scan(records.parts_prefix(name))
+        most = max(1, self._term.settings.params.state.txn_ops // 2)
+        keys = {entry.key: Revision(entry.version) for entry in entries[:most]}
+        if not keys:
+            keys = {records.graph_key(name): version}
+
+        def done(_: object) -> None:
+            self._expiring.discard(name)
+            self._wake.set()
+
+        self._expiring.add(name)
+        self._term.keeper.join(Joined(keys, [wire.delete(key) for key in keys], done, done))
+
+    # -- reading a graph ------------------------------------------------------------------------
+
+    async def _load(self, name: str) -> None:
+        """Reads a graph and how its nodes ended; the book has those that are released."""
+        head, owner = self._heads[name]
+        self._heard[name] = []
+        entries, _ = await self._term.client.scan(records.parts_prefix(name))
+        ended, _ = await self._term.client.scan(records.graph_over_key(name) + "-")
+        try:
+            found = records.gather(entries)
+            parts = [found[number] for number in range(head.parts)]
+            # Beside the loop: a large graph takes a second on a share of a core.
+            shape = await asyncio.to_thread(_shape, head, parts)
+        except (BadGraphRecord, BadGraph, KeyError) as error:
+            # Accepted graphs were read back whole; what is wrong here is not mended by waiting.
+            log.error("graph %s can't be read: %s", name, error)
+            self._unreadable.add(name)
+            self._heads.pop(name, None)
+            return
+        if self._heads.get(name) != (head, owner):
+            return
+        live = Live(name, head, owner, parts, Progress(shape))
+        live.first = [0, *accumulate(part.nodes for part in parts[:-1])]
+        self._live[name] = live
+        for job in [j for j in self._term.book.jobs.values() if j.owner is owner]:
+            node = parse_node_id(job.id)
+            if node is not None and not job.cancelled:
+                self._attach(live, node[1], job)
+        for index, state in (*_ends(ended), *self._heard.pop(name, [])):
+            self._settle(name, index, state)
+        live.progress.begin()
+        log.info(
+            "graph %s: %d nodes, %d edges read: %s",
+            name,
+            head.nodes,
+            head.edges,
+            live.progress.counted(),
+        )
+
+    # -- what others ask ------------------------------------------------------------------------
+
+    def upcoming(self, now: Steady, within_s: float) -> Iterator[tuple[JobView, int]]:
+        """Nodes that wait for released ones only, all of which end within `within_s`."""
+        for live in self._live.values():
+            for index in list(islice(live.progress.near, _NEAR)):
+                ups = (live.jobs.get(up) for up, _ in live.progress.shape.awaited(index))
+                if all(u is None or self._term.remaining_s(u, now) <= within_s for u in ups):
+                    view = live.views.get(index)
+                    if view is None:
+                        tasks = live.progress.shape.tasks[index]
+                        view = live.views[index] = self._term.job_view(live.spec(index), tasks)
+                    yield view, view.tasks
+
+    def counts(self, name: str) -> dict[str, int] | None:
+        """A live graph's nodes by state; None if this leader has not read it."""
+        live = self._live.get(name)
+        return None if live is None else live.progress.counted()
+
+    def describe(self) -> dict[str, Any]:
+        return {
+            "graphs": {name: live.progress.counted() for name, live in self._live.items()},
+            "open": len(self._drafts),
+        }
+
+
+def _ends(entries: Sequence[wire.Entry]) -> Iterator[tuple[int, int]]:
+    for entry in entries:
+        job = parse_job_id(entry.key.rpartition("/")[2])
+        node = parse_node_id(job) if job is not None else None
+        if node is not None:
+            yield node[1], _state_of(entry.value)
+
+
+def _state_of(over: dict[str, Any]) -> int:
+    """How a node ended, by its record."""
+    if over.get("status") == wire.JOB_DONE:
+        return OVER_DONE
+    return outcome_state(over.get("outcome", OUTCOME_CANCELLED))
+
+
+def _final_status(counts: dict[str, int]) -> str:
+    if counts["failed"]:
+        return "failed"
+    return "aborted" if counts["cancelled"] else OUTCOME_DONE
--- a/tealrill/state/budget.py
+++ b/tealrill/state/budget.py
@@ -48,11 +48,12 @@
                 return
             await asyncio.sleep(max(0.005, (need - have) / self._rate))
 
-    def take_now(self) -> bool:
-        """One token, if there is one at this moment."""
-        if self.available() < 1.0:
+    def take_now(self, amount: float = 1.0, urgent: bool = True) -> bool:
+        """Takes tokens if they are there at this moment; a full bucket has enough for anything."""
+        need = min(amount, self.burst * (1.0 if urgent else 1 - self._KEPT_FOR_URGENT))
+        if self.available(urgent) < need:
             return False
-        self.spend(1.0)
+        self.spend(amount)
         return True
 
     def _refill(self) -> None:
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -91,6 +91,15 @@
             return None
         return self._read(answer, wire.KeyValue)
 
+    async def page(self, prefix: str, after: str | None, most: int) -> wire.Entries:
+        """Up to `most` keys under a prefix, those behind `after` only."""
+        await self.requests.take()
+        query: dict[str, Any] = {"under": prefix, "most": most}
+        if after is not None:
+            query["from"] = after
+        answer = await self._send("GET", "/kv?" + urlencode(query, safe="/"), timeout_s=4.0)
+        return self._read(answer, wire.Entries)
+
     async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
         """All keys under a prefix, and the revision from which a watch misses nothing.
 
@@ -100,12 +109,7 @@
         revision: Revision | None = None
         after: str | None = None
         while True:
-            await self.requests.take()
-            query: dict[str, Any] = {"under": prefix, "most": _PAGE}
-            if after is not None:
-                query["from"] = after
-            answer = await self._send("GET", "/kv?" + urlencode(query, safe="/"), timeout_s=4.0)
-            page = self._read(answer, wire.Entries)
+            page = await self.page(prefix, after, _PAGE)
             entries.extend(page.items)
             if revision is None:
                 revision = Revision(page.revision)
--- /dev/null
+++ b/tests/test_graphs_node.py
@@ -0,0 +1,261 @@
+"""Graphs on a whole node on loopback, against stand-ins for everything around it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tealrill import features
+from tests.samples import SUBMISSION
+from tests.standins import Worker
+from tests.test_node import _PATIENCE_S, World, running
+
+ON = features.Features(graphs=features.GraphFeatures(on=True))
+DEFAULTS = {k: v for k, v in SUBMISSION.items() if k not in ("id", "dueS")} | {
+    "pieces": 1,
+    "vcpus": 1.0,
+    "memoryGb": 1.0,
+}
+
+
+def in_a_world(test: Callable[[World], Coroutine[Any, Any, None]]) -> None:
+    async def run() -> None:
+        async with running(ON) as world:
+            await test(world)
+
+    asyncio.run(run())
+
+
+async def submit(world: World, **graph: Any) -> tuple[int, Any]:
+    """Submits until the node knows its machine types."""
+    body = {"defaults": DEFAULTS, **graph}
+    while True:
+        status, answer = await world.send("POST", "/v2/graphs", body)
+        if status != 503:
+            return status, answer
+        await asyncio.sleep(0.02)
+
+
+async def until(
+    world: World, worker: Worker, done: Callable[[], Coroutine[Any, Any, bool]]
+) -> None:
+    async with asyncio.timeout(_PATIENCE_S):
+        while not await done():
+            await world.beat(worker)
+            await asyncio.sleep(0.02)
+
+
+def has(worker: Worker, *names: str) -> Callable[[], Coroutine[Any, Any, bool]]:
+    async def check() -> bool:
+        live = {n for n, task in worker.tasks.items() if task["status"] == "running"}
+        return live == set(names)
+
+    return check
+
+
+def graph_is(world: World, graph: str, status: str) -> Callable[[], Coroutine[Any, Any, bool]]:
+    async def check() -> bool:
+        _, answer = await world.send("GET", f"/v2/graphs/{graph}")
+        return bool(answer.get("status") == status)
+
+    return check
+
+
+def node(key: str, *after: Any, **more: Any) -> dict[str, Any]:
+    job = more.pop("job", {})
+    return {"key": key, "after": list(after), "job": job, **more}
+
+
+def test_a_chain_runs_in_order_and_its_nodes_are_jobs() -> None:
+    async def scenario(world: World) -> None:
+        status, answer = await submit(world, id="fam1", nodes=[node("b", "a"), node("a")])
+        assert status == 201 and answer["nodes"] == 2 and answer["edges"] == 1
+        # Accepted, gated and known from the first moment on.
+        assert await world.status("fam1-00000") == "pending"
+        assert (await world.send("GET", "/v2/runs/fam1-00002"))[0] == 404
+        assert (await submit(world, id="fam1", nodes=[node("b", "a"), node("a")]))[0] == 200
+        assert (await submit(world, id="fam1", nodes=[node("a")]))[0] == 409
+        worker = Worker("m-000001")
+        await until(world, worker, has(worker, "fam1-00001/0"))
+        assert await world.status("fam1-00000") == "pending"
+        worker.end("fam1-00001/0", "done")
+        await until(world, worker, has(worker, "fam1-00000/0"))
+        assert await world.status("fam1-00001") == "done"
+        _, listed = await world.send("GET", "/v2/graphs/fam1/nodes")
+        assert [n["state"] for n in listed["nodes"]] == ["released", "done"]
+        worker.end("fam1-00000/0", "done")
+        await until(world, worker, graph_is(world, "fam1", "done"))
+        _, shown = await world.send("GET", "/v2/graphs/fam1")
+        assert shown["counts"]["done"] == 2
+        # The ids stay the graph's, and the answers stay what they were.
+        assert await world.submit(id="fam1-00000") == 200
+        assert await world.submit(id="fam1-00007") == 422
+        assert await world.submit(id="fam1-7") == 422
+        assert (await world.send("POST", "/v2/graphs/fam1/cancel"))[1]["status"] == "done"
+
+    in_a_world(scenario)
+
+
+def test_a_failing_middle_is_tried_again_and_past_its_bound_the_rest_never_starts() -> None:
+    async def scenario(world: World) -> None:
+        nodes = [
+            node("a"),
+            node("b", "a", maxRetries=1),
+            node("c", "b"),
+            node("clean", {"node": "b", "when": "failed"}),
+            node("either", {"node": "c", "when": "ended"}),
+            node("apart"),
+        ]
+        assert (await submit(world, id="fam2", nodes=nodes))[0] == 201
+        worker = Worker("m-000001")
+        await until(world, worker, has(worker, "fam2-00000/0", "fam2-00005/0"))
+        worker.end("fam2-00000/0", "done")
+        for _ in range(2):
+            await until(world, worker, has(worker, "fam2-00001/0", "fam2-00005/0"))
+            worker.end("fam2-00001/0", "error")
+        await until(world, worker, has(worker, "fam2-00003/0", "fam2-00004/0", "fam2-00005/0"))
+        _, failed = await world.send("GET", "/v2/runs/fam2-00001")
+        assert (failed["status"], failed["outcome"]) == ("aborted", "failed")
+        for index in (3, 4, 5):
+            worker.end(f"fam2-0000{index}/0", "done")
+        await until(world, worker, graph_is(world, "fam2", "failed"))
+        assert await world.status("fam2-00002") == "aborted"
+        _, shown = await world.send("GET", "/v2/graphs/fam2")
+        assert shown["counts"]["failed"] == shown["counts"]["skipped"] == 1
+        assert shown["counts"]["done"] == 4
+        _, listed = await world.send("GET", "/v2/graphs/fam2/nodes?state=skipped")
+        assert [n["key"] for n in listed["nodes"]] == ["c"]
+
+    in_a_world(scenario)
+
+
+def test_a_failure_stops_everything_where_its_user_chose_that() -> None:
+    async def scenario(world: World) -> None:
+        nodes = [node("bad", maxRetries=0), node("next", "bad"), node("apart")]
+        assert (await submit(world, id="fam3", nodes=nodes, onFailure="stop"))[0] == 201
+        worker = Worker("m-000001")
+        await until(world, worker, has(worker, "fam3-00000/0", "fam3-00002/0"))
+        worker.end("fam3-00000/0", "error")
+        await until(world, worker, graph_is(world, "fam3", "failed"))
+        await world.beat_until(worker, lambda: not worker.tasks)
+        assert [await world.status(f"fam3-0000{i}") for i in range(3)] == ["aborted"] * 3
+
+    in_a_world(scenario)
+
+
+def test_a_node_that_waits_task_by_task_starts_with_the_first() -> None:
+    async def scenario(world: World) -> None:
+        two = {"job": {"pieces": 2}}
+        nodes = [
+            node("subsets", **two),
+            node("hints", {"node": "subsets", "each": True}, **two),
+            node("all", "hints"),
+        ]
+        assert (await submit(world, id="fam4", nodes=nodes))[0] == 201
+        worker = Worker("m-000001")
+        await until(world, worker, has(worker, "fam4-00000/0", "fam4-00000/1"))
+        worker.end("fam4-00000/1", "done")
+        await until(world, worker, has(worker, "fam4-00000/0", "fam4-00001/1"))
+        worker.end("fam4-00001/1", "done")
+        worker.end("fam4-00000/0", "done")
+        await until(world, worker, has(worker, "fam4-00001/0"))
+        worker.end("fam4-00001/0", "done")
+        await until(world, worker, has(worker, "fam4-00002/0"))
+        worker.end("fam4-00002/0", "done")
+        await until(world, worker, graph_is(world, "fam4", "done"))
+
+    in_a_world(scenario)
+
+
+def test_a_cancelled_graph_stops_and_what_never_started_is_cancelled() -> None:
+    async def scenario(world: World) -> None:
+        nodes = [node("a"), node("b", "a"), node("c"), node("d", "c")]
+        assert (await submit(world, id="fam5", nodes=nodes))[0] == 201
+        worker = Worker("m-000001")
+        await until(world, worker, has(worker, "fam5-00000/0", "fam5-00002/0"))
+        worker.end("fam5-00000/0", "done")
+        await until(world, worker, has(worker, "fam5-00001/0", "fam5-00002/0"))
+        # A gated node by itself first: what waits for it is skipped, the rest goes on.
+        status, answer = await world.send("POST", "/v2/runs/fam5-00003/cancel")
+        assert (status, answer["status"]) == (200, "aborted")
+        assert await world.status("fam5-00003") == "aborted"
+        status, answer = await world.send("POST", "/v2/graphs/fam5/cancel")
+        assert (status, answer["status"]) == (200, "aborted")
+        told = [await world.status(f"fam5-0000{i}") for i in range(4)]
+        assert told == ["done", "aborted", "aborted", "aborted"]
+        await world.beat_until(worker, lambda: not worker.tasks)
+        async with asyncio.timeout(_PATIENCE_S):
+            while any(k.startswith("job/") for k in world.state.keys):
+                await asyncio.sleep(0.02)
+        assert [await world.status(f"fam5-0000{i}") for i in range(4)] == told
+        assert (await world.send("POST", "/v2/graphs/fam5/cancel"))[1]["status"] == "aborted"
+
+    in_a_world(scenario)
+
+
+def test_a_graph_in_parts_runs_nothing_before_it_is_sealed() -> None:
+    async def scenario(world: World) -> None:
+        assert (await submit(world, id="fam6", seal=False))[0] == 201
+        path = "/v2/graphs/fam6"
+        assert (await world.send("PUT", f"{path}/parts/0", {"nodes": [node("b", "a")]}))[0] == 201
+        assert (await world.send("PUT", f"{path}/parts/0", {"nodes": [node("b", "a")]}))[0] == 200
+        assert (await world.send("PUT", f"{path}/parts/0", {"nodes": [node("b")]}))[0] == 409
+        # Not accepted: its nodes are nobody's jobs, and nobody else's either.
+        assert (await world.send("GET", "/v2/runs/fam6-00000"))[0] == 404
+        assert (await world.send("POST", "/v2/runs", {**SUBMISSION, "id": "fam6-1"}))[0] == 503
+        status, answer = await world.send("POST", f"{path}/seal", {"parts": 2})
+        assert (status, answer["missing"]) == (409, [1])
+        assert (await world.send("PUT", f"{path}/parts/1", {"nodes": [node("a")]}))[0] == 201
+        assert (await world.send("POST", f"{path}/seal", {"parts": 1}))[0] == 409
+        assert (await world.send("POST", f"{path}/seal", {"parts": 2}))[0] == 201
+        assert (await world.send("POST", f"{path}/seal", {"parts": 2}))[0] == 200
+        assert (await world.send("PUT", f"{path}/parts/2", {"nodes": [node("x")]}))[0] == 409
+        assert (await world.send("PUT", f"{path}/parts/1", {"nodes": [node("a")]}))[0] == 200
+        worker = Worker("m-000001")
+        await until(world, worker, has(worker, "fam6-00001/0"))
+
+    in_a_world(scenario)
+
+
+def test_bad_graphs_get_a_status_that_names_node_and_field() -> None:
+    async def scenario(world: World) -> None:
+        async def bad(*nodes: Any, **more: Any) -> tuple[int, Any, Any, str]:
+            status, answer = await submit(world, **{"id": "bad1", "nodes": nodes, **more})
+            return status, answer.get("node"), answer.get("field"), answer.get("error", "")
+
+        assert (await bad(node("a"), id="bad"))[:3] == (400, None, "id")
+        assert (await bad(node("a"), id="wk-1"))[:3] == (400, None, "id")
+        assert (await bad())[:3] == (400, None, "nodes")
+        assert (await bad(node("a"), node("a")))[:3] == (400, "a", "key")
+        assert (await bad(node("a", "a")))[:3] == (400, "a", "after")
+        assert (await bad(node("a", "z")))[:3] == (400, "a", "after")
+        status, _, field, error = await bad(node("a", "c"), node("b", "a"), node("c", "b"))
+        assert (status, field) == (400, "after")
+        assert error.count("->") == 3
+        assert (await bad(node("a", job={"vcpus": -1})))[:3] == (400, "a", "job.vcpus")
+        assert (await bad(node("a", job={"id": "x1-1"})))[:3] == (400, "a", "job.id")
+        assert (await bad(node("a", job={"shape": "standing"})))[:3] == (400, "a", "job.shape")
+        assert (await bad(node("a", job={"vcpus": 99})))[:3] == (422, "a", "job")
+        assert (await bad(node("a", job={"crew": "green"})))[:3] == (422, "a", "job")
+        each = {"node": "a", "each": True}
+        assert (await bad(node("a"), node("b", each, job={"pieces": 2})))[:3] == (400, "b", "after")
+        assert (await bad(node("a"), node("b", "a", "a")))[:3] == (400, "b", "after")
+        assert (await bad(node("a"), seal=1))[0] == 400
+        assert (await bad(node("a", maxRetries=101)))[0] == 400
+        assert (await bad(node("x" * 101)))[0] == 400
+        assert (await world.send("POST", "/v2/graphs", b"["))[0] == 400
+        assert (await world.send("POST", "/v2/graphs", b"x" * 70_000))[0] == 400
+        # Nothing of all that was kept.
+        assert not any("bad" in key for key in world.state.keys)
+        # A plain job that has an id of its nodes keeps it.
+        assert await world.submit(id="bad1-3") == 201
+        assert (await bad(node("a")))[0] == 409
+        for path in ("/v2/graphs/bad1", "/v2/graphs/bad1/nodes", "/v2/graphs/wk-1"):
+            assert (await world.send("GET", path))[0] == 404
+        assert (await world.send("POST", "/v2/graphs/bad1/cancel"))[0] == 404
+        assert (await world.send("PUT", "/v2/graphs/bad1/parts/0", {"nodes": [node("a")]}))[
+            0
+        ] == 404
+
+    in_a_world(scenario)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -34,14 +34,16 @@
 class World:
     """A node with everything around it."""
 
-    def __init__(self) -> None:
+    def __init__(self, switched: features.Features | None = None) -> None:
         self.state = State()
         self.cloud = Cloud()
         values = copy.deepcopy(SETTINGS)
         values["members"] = []
         values["client_listen"], values["cluster_listen"] = _free_address(), _free_address()
         values["services"] = {"cloud": self.cloud.address, "state": self.state.address}
-        self.node = Node(settings.parse(orjson.dumps(values)))
+        self.values = values
+        self.switched = switched
+        self.node = Node(settings.parse(orjson.dumps(values)), switched)
         self.client = Client(settings.parse_address(values["client_listen"]))
         self.operator = Client(settings.parse_address(values["cluster_listen"]))
 
@@ -77,8 +79,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _running() -> AsyncIterator[World]:
-    world = World()
+async def running(switched: features.Features | None = None) -> AsyncIterator[World]:
+    world = World(switched)
     task = asyncio.create_task(world.node.run())
     try:
         async with asyncio.timeout(_PATIENCE_S):
@@ -94,7 +96,7 @@
 
 def _in_a_world(test: Callable[[World], Coroutine[Any, Any, None]]) -> None:
     async def run() -> None:
-        async with _running() as world:
+        async with running() as world:
             await test(world)
 
     asyncio.run(run())
