--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -70,6 +70,7 @@
         self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
         self._fronts: list[Front] = []
+        self.servers: list[Server] = []
         self.subsystems = self._switched_on()
         for subsystem in self.subsystems:
             if subsystem.names is not None:
@@ -130,7 +131,9 @@
             front = Front(application, most_held, take_report)
             self._fronts.append(front)
             address = parse_address(where)
-            Server(front).listen(address.port, address.host)
+            server = Server(front)
+            server.listen(address.port, address.host)
+            self.servers.append(server)
         log.info("%s listens on %s", self._settings.host_name, self._settings.client_listen)
 
     async def _close_idle(self) -> None:
--- a/tealrill/graphs/term.py
+++ b/tealrill/graphs/term.py
@@ -513,7 +513,7 @@
 
     async def _clear_up(self, name: str) -> None:
         """Removes the parts of an expired graph, a few at a time, then its head."""
-        if name in self._expiring:
+        if name in self._expiring or name not in self._drafts:
             return
         _, version = self._drafts[name]
         entries, _ = await self._term.client.scan(records.parts_prefix(name))
@@ -533,7 +533,11 @@
 
     async def _load(self, name: str) -> None:
         """Reads a graph and how its nodes ended; the book has those that are released."""
-        head, owner = self._heads[name]
+        known = self._heads.get(name)
+        if known is None:
+            # Cancelled while another graph was being read; an error here ended the whole term.
+            return
+        head, owner = known
         self._heard[name] = []
         entries, _ = await self._term.client.scan(records.parts_prefix(name))
         ended, _ = await self._term.client.scan(records.graph_over_key(name) + "-")
@@ -548,7 +552,7 @@
             self._unreadable.add(name)
             self._heads.pop(name, None)
             return
-        if self._heads.get(name) != (head, owner):
+        if self._heads.get(name) is not known:
             return
         live = Live(name, head, owner, parts, Progress(shape))
         live.first = [0, *accumulate(part.nodes for part in parts[:-1])]
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -309,18 +309,22 @@
                 await asyncio.sleep(_RETRY_S)
                 continue
             for event in result.events:
-                key = event.put or event.delete or ""
-                if parse_job_id(key.removeprefix(JOB_PREFIX)) is None:
-                    value = event.value if event.put is not None else None
-                    for part in self.parts:
-                        part.seen(key, value, Revision(event.version))
-                elif event.put is not None:
-                    if self._add_job(event.put, event.value, Revision(event.version)):
-                        self.wake()
-                elif event.delete is not None:
-                    self.job_cancelled(event.delete.removeprefix(JOB_PREFIX))
+                self.job_changed(event)
             revision = Revision(max(revision, result.revision))
 
+    def job_changed(self, event: wire.WatchEvent) -> None:
+        """A record under `job/` was written or removed."""
+        key = event.put or event.delete or ""
+        if parse_job_id(key.removeprefix(JOB_PREFIX)) is None:
+            value = event.value if event.put is not None else None
+            for part in self.parts:
+                part.seen(key, value, Revision(event.version))
+        elif event.put is not None:
+            if self._add_job(event.put, event.value, Revision(event.version)):
+                self.wake()
+        elif event.delete is not None:
+            self.job_cancelled(event.delete.removeprefix(JOB_PREFIX))
+
     async def _compare_jobs(self) -> Revision:
         """After a watch that began too late: what came and what went."""
         entries, revision = await self._client.scan(JOB_PREFIX)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -83,7 +84,16 @@
         ]
         if failed:
             return self.answer(409, {"failed": failed, "epoch": state.epoch})
+        state.commits += 1
+        if state.crash_at == (state.commits, "before"):
+            state.crash()
+            self.detach().close()
+            return None
         state.apply(message["apply"])
+        if state.crash_at == (state.commits, "after"):
+            state.crash()
+            self.detach().close()
+            return None
         if state.lose_answers > 0:
             state.lose_answers -= 1
             self.detach().close()
@@ -144,6 +154,10 @@
         self.down = False
         self.lose_answers = 0
         """So many of the next transactions are executed, but their answers are lost."""
+        self.commits = 0
+        self.crash_at: tuple[int, str] | None = None
+        """The transaction, counted from 1, before or after whose execution `crash` is called."""
+        self.crash: Callable[[], None] = lambda: None
 
     def apply(self, changes: list[dict[str, Any]]) -> None:
         self.epoch += 1
--- a/tests/test_graphs_node.py
+++ b/tests/test_graphs_node.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
+
 from tealrill import features
+from tealrill.http import NoAnswer
 from tests.samples import SUBMISSION
 from tests.standins import Worker
 from tests.test_node import _PATIENCE_S, World, running
@@ -259,3 +263,117 @@
         ] == 404
 
     in_a_world(scenario)
+
+
+async def _persist(world: World, body: dict[str, Any]) -> None:
+    """Submits as a client does: again and again under the same id until it is accepted."""
+    while True:
+        with contextlib.suppress(NoAnswer):
+            status, answer = await world.send("POST", "/v2/graphs", body)
+            if status in (200, 201):
+                assert answer["status"] in ("accepted", "done")
+                return
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("side", ["before", "after"])
+@pytest.mark.parametrize("commit", range(1, 13))
+def test_a_node_that_dies_at_any_transaction_loses_and_doubles_nothing(
+    commit: int, side: str
+) -> None:
+    """Begin, seal, releases, bindings and ends: the process dies at each in turn."""
+
+    async def scenario(world: World) -> None:
+        died = asyncio.Event()
+        starts: list[str] = []
+        deaths: list[int] = []
+        body = {
+            "id": "fam7",
+            "defaults": DEFAULTS,
+            "nodes": [node("a"), node("b", "a"), node("c", "a"), node("d", "b", "c")],
+        }
+
+        def crash() -> None:
+            world.task.cancel()
+            died.set()
+            deaths.append(commit)
+
+        world.state.crash = crash
+        while (await world.send("POST", "/v2/runs", {}))[0] == 503:
+            await asyncio.sleep(0.02)
+        world.state.crash_at = (world.state.commits + commit, side)
+        worker = Worker("m-000001")
+
+        async def work() -> None:
+            while True:
+                if died.is_set():
+                    died.clear()
+                    await world.restart()
+                with contextlib.suppress(NoAnswer):
+                    await world.beat(worker)
+                for name, task in list(worker.tasks.items()):
+                    if task["status"] == "running":
+                        starts.append(name)
+                        worker.end(name, "done")
+                await asyncio.sleep(0.02)
+
+        working = asyncio.create_task(work())
+        try:
+            async with asyncio.timeout(2 * _PATIENCE_S):
+                await _persist(world, body)
+                while True:
+                    with contextlib.suppress(NoAnswer):
+                        if await graph_is(world, "fam7", "done")():
+                            break
+                    await asyncio.sleep(0.05)
+        finally:
+            working.cancel()
+        assert deaths == [commit]
+        # The results of tasks are kept by their machine, so none of them ran twice.
+        order = [name.partition("/")[0][-1] for name in starts]
+        assert sorted(order) == ["0", "1", "2", "3"]
+        assert order[0] == "0" and order[-1] == "3"
+        assert not [key for key in world.state.keys if key.startswith("job/")]
+
+    in_a_world(scenario)
+
+
+def test_a_graph_of_independent_nodes_counts_as_plain_jobs_do() -> None:
+    """A team at its limit of 64 processors, tasks of 8: plain, as a graph, and both mixed."""
+
+    async def scenario(world: World) -> None:
+        workers = [Worker(f"m-{number:06d}") for number in range(1, 13)]
+        job = {**DEFAULTS, "crew": "red", "vcpus": 8.0, "pieces": 1, "dueS": None}
+
+        async def play(name: str, plain: int, nodes: int) -> tuple[int, int, float]:
+            if nodes:
+                graph: dict[str, Any] = {"id": f"{name}1", "defaults": job}
+                graph["nodes"] = [node(f"n{i}") for i in range(nodes)]
+                await _persist(world, graph)
+            for number in range(plain):
+                assert await world.submit(**job, id=f"{name}-{number}") == 201
+            starts, most, used = 0, 0, 0.0
+            async with asyncio.timeout(2 * _PATIENCE_S):
+                while starts < plain + nodes or any(w.tasks for w in workers):
+                    for worker in workers:
+                        await world.beat(worker)
+                    await asyncio.sleep(0.02)
+                    leader = world.node.leader
+                    assert leader is not None
+                    used = max(used, leader.book.team_cpus.get("red", 0.0))
+                    running = [(w, n) for w in workers for n, t in w.tasks.items()
+                               if t["status"] == "running"]  # fmt: skip
+                    most = max(most, len(running))
+                    left = plain + nodes - starts
+                    if len(running) == min(8, left):
+                        # All that the limit allows at once has started.
+                        starts += len(running)
+                        for worker, task in running:
+                            worker.end(task, "done")
+            return starts, most, used
+
+        assert await play("plain", 12, 0) == (12, 8, 64.0)
+        assert await play("graph", 0, 12) == (12, 8, 64.0)
+        assert await play("mixed", 6, 6) == (12, 8, 64.0)
+
+    in_a_world(scenario)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -47,6 +47,30 @@
         self.client = Client(settings.parse_address(values["client_listen"]))
         self.operator = Client(settings.parse_address(values["cluster_listen"]))
 
+    def start(self) -> None:
+        self.task = asyncio.create_task(self.node.run())
+
+    async def until_it_leads(self) -> None:
+        async with asyncio.timeout(_PATIENCE_S):
+            while self.node.leader is None or not self.node.leader.fleet.loaded:
+                assert not self.task.done(), self.task.exception()
+                await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """The process is gone: nothing of it goes on, its sockets are closed."""
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+        for server in self.node.servers:
+            server.stop()
+            await server.close_all_connections()
+
+    async def restart(self) -> None:
+        await self.stop()
+        self.node = Node(settings.parse(orjson.dumps(self.values)), self.switched)
+        self.start()
+        await self.until_it_leads()
+
     async def send(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         raw = body if isinstance(body, bytes) or body is None else orjson.dumps(body)
         answer: Answer = await self.client.request(method, path, raw, _PATIENCE_S)
@@ -81,17 +105,12 @@
 @contextlib.asynccontextmanager
 async def running(switched: features.Features | None = None) -> AsyncIterator[World]:
     world = World(switched)
-    task = asyncio.create_task(world.node.run())
+    world.start()
     try:
-        async with asyncio.timeout(_PATIENCE_S):
-            while world.node.leader is None or not world.node.leader.fleet.loaded:
-                assert not task.done(), task.exception()
-                await asyncio.sleep(0.01)
+        await world.until_it_leads()
         yield world
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+        await world.stop()
 
 
 def _in_a_world(test: Callable[[World], Coroutine[Any, Any, None]]) -> None:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -56,7 +56,7 @@
 
     def spend(self, amount: float) -> None: ...
 
-    def take_now(self) -> bool:
+    def take_now(self, amount: float = 1.0, urgent: bool = True) -> bool:
         return True
 
 
