A client library and `tealrill graph`: Ray's words, files with a schema, pictures

Need: users draw graphs in programs and in files, each with its own retries, most of them wrong.

Change: `tealrill.client`: functions with declared resources become nodes, references become edges; blocking and asyncio clients are two loops over the same calls, whose retries are the protocol's. `tealrill graph check|submit|show|watch|cancel|draw|schema` on graph files in TOML, checked against a JSON Schema made from the daemon's structs. `tools/load.py` rents machines and can run without jobs of its own.

--- a/tealrill/cli.py
+++ b/tealrill/cli/__init__.py
@@ -1,10 +1,16 @@
-"""The command line."""
+"""The command line.
+
+Groups of verbs are modules of their own and imported when they are called: the daemon is started
+from here too, and must not load the libraries of tools.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import importlib
 import sys
 from pathlib import Path
+from typing import Final
 
 import click
 
@@ -20,7 +26,40 @@
     sys.exit(2)
 
 
-@click.group()
+_GROUPS: Final = {"graph": "Task graphs: submit, watch, cancel, draw."}
+"""Modules of this package with a group of verbs of the same name."""
+
+
+class _Groups(click.Group):
+    """Imports a group of verbs when it is asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted({*super().list_commands(ctx), *_GROUPS})
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in _GROUPS:
+            return super().get_command(ctx, cmd_name)
+        try:
+            module = importlib.import_module(f"tealrill.cli.{cmd_name}")
+        except ModuleNotFoundError as error:
+            if error.name is None or error.name.startswith("tealrill"):
+                raise
+            _fail(f"{cmd_name} needs {error.name}: python3 -m pip install 'tealrill[tools]'")
+            return None
+        found = getattr(module, cmd_name)
+        assert isinstance(found, click.Command)
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        rows = []
+        for name in self.list_commands(ctx):
+            own = super().get_command(ctx, name)
+            rows.append((name, _GROUPS[name] if own is None else own.get_short_help_str()))
+        with formatter.section("Commands"):
+            formatter.write_dl(rows)
+
+
+@click.group(cls=_Groups)
 @click.version_option(__version__, prog_name="tealrill")
 def main() -> None:
     """A cluster scheduler: the daemon and its operators' verbs."""
--- /dev/null
+++ b/tealrill/cli/draw.py
@@ -0,0 +1,178 @@
+"""Pictures of graphs: Graphviz DOT by pydot, SVG laid out by grandalf and written by svgwrite.
+
+Large graphs are drawn by groups: nodes of one name (up to its first hyphen) in one layer are one
+box with their number, since ten thousand boxes show nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+import pydot
+import svgwrite
+from grandalf.graphs import Edge as LayoutEdge
+from grandalf.graphs import Graph as LayoutGraph
+from grandalf.graphs import Vertex
+from grandalf.layouts import SugiyamaLayout
+
+from tealrill.graphs.model import EACH, FAILED, Shape
+from tealrill.graphs.model import ENDED as AFTER_EITHER
+
+MOST_BOXES: Final = 200
+_HEIGHT: Final = 28
+_CHAR: Final = 7.2
+_GAP: Final = 24
+_COLOURS: Final = {
+    "done": "#cfe8cf",
+    "failed": "#f2c4c4",
+    "cancelled": "#dddddd",
+    "skipped": "#eeeeee",
+    "released": "#cfe0f5",
+}
+_STYLES: Final = {
+    EACH: ("each", "bold"),
+    FAILED: ("failed", "dashed"),
+    AFTER_EITHER: ("ended", "dotted"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Box:
+    label: str
+    tasks: int
+    colour: str = "white"
+
+
+@dataclass(frozen=True, slots=True)
+class Picture:
+    """Boxes, and the arrows between them with their kind."""
+
+    boxes: list[Box]
+    arrows: list[tuple[int, int, int]]
+
+
+def picture(shape: Shape, states: Sequence[str] | None = None, most: int = MOST_BOXES) -> Picture:
+    """What is drawn: each node, or groups of them when there are more than `most`."""
+    if shape.nodes <= most:
+        group = list(range(shape.nodes))
+        names = [f"{key}" for key in shape.keys]
+    else:
+        group, names = _grouped(shape)
+    members: list[list[int]] = [[] for _ in names]
+    for index, number in enumerate(group):
+        members[number].append(index)
+    boxes = []
+    for name, inside in zip(names, members, strict=True):
+        found = {states[i] for i in inside} if states is not None else set()
+        colour = _COLOURS.get(next(iter(found)), "white") if len(found) == 1 else "white"
+        label = name if len(inside) == 1 else f"{name} ×{len(inside)}"
+        boxes.append(Box(label, sum(shape.tasks[i] for i in inside), colour))
+    arrows: dict[tuple[int, int, int], None] = {}
+    for index in range(shape.nodes):
+        for other, kind in shape.awaited(index):
+            if group[other] != group[index]:
+                arrows[(group[other], group[index], kind)] = None
+    return Picture(boxes, list(arrows))
+
+
+def _grouped(shape: Shape) -> tuple[list[int], list[str]]:
+    layer = [0] * shape.nodes
+    for index in shape.order:
+        layer[index] = 1 + max((layer[up] for up, _ in shape.awaited(index)), default=-1)
+    numbers: dict[tuple[int, str], int] = {}
+    group = []
+    for index, key in enumerate(shape.keys):
+        name = (layer[index], key.partition("-")[0])
+        group.append(numbers.setdefault(name, len(numbers)))
+    return group, [name for _, name in numbers]
+
+
+def dot(drawn: Picture, name: str) -> str:
+    """Graphviz DOT."""
+    graph = pydot.Dot(f'"{name}"', graph_type="digraph", rankdir="LR")
+    graph.set_node_defaults(shape="box", style="filled", fillcolor="white")
+    for number, box in enumerate(drawn.boxes):
+        label = f'"{box.label}\\n{box.tasks} tasks"'
+        graph.add_node(pydot.Node(f"n{number}", label=label, fillcolor=f'"{box.colour}"'))
+    for start, end, kind in drawn.arrows:
+        given: dict[str, Any] = {}
+        if kind in _STYLES:
+            label, style = _STYLES[kind]
+            given = {"label": label, "style": style}
+        graph.add_edge(pydot.Edge(f"n{start}", f"n{end}", **given))
+    return str(graph.to_string())
+
+
+class _Size:
+    """What the layout asks of a box: its size; it sets the place of the middle."""
+
+    def __init__(self, width: float) -> None:
+        self.w = width
+        self.h = float(_HEIGHT)
+        self.xy = (0.0, 0.0)
+
+
+def svg(drawn: Picture, name: str) -> str:
+    """SVG, in layers from top to bottom."""
+    vertices = [Vertex(box) for box in drawn.boxes]
+    for vertex in vertices:
+        vertex.view = _Size(_CHAR * len(_text(vertex.data)) + 16)
+    edges = [LayoutEdge(vertices[a], vertices[b]) for a, b, _ in drawn.arrows]
+    right, lowest = float(_GAP), 0.0
+    for component in LayoutGraph(vertices, edges).C:
+        layout = SugiyamaLayout(component)
+        layout.init_all()
+        layout.draw()
+        inside = list(component.sV)
+        left = min(v.view.xy[0] - v.view.w / 2 for v in inside)
+        top = min(v.view.xy[1] - v.view.h / 2 for v in inside)
+        for vertex in inside:
+            x, y = vertex.view.xy
+            vertex.view.xy = (x - left + right, y - top + _GAP)
+            lowest = max(lowest, vertex.view.xy[1] + _HEIGHT / 2)
+        right = max(v.view.xy[0] + v.view.w / 2 for v in inside) + _GAP
+    page = svgwrite.Drawing(size=(right, lowest + _GAP), debug=False)
+    page.add(svgwrite.base.Title(name))
+    arrow = page.marker(insert=(8, 4), size=(8, 8), orient="auto")
+    arrow.add(page.path("M0,0 L8,4 L0,8 z", fill="#444444"))
+    page.defs.add(arrow)
+    for start, end, kind in drawn.arrows:
+        (x1, y1), (x2, y2) = vertices[start].view.xy, vertices[end].view.xy
+        dash = {"failed": "6,3", "ended": "2,3"}.get(_STYLES.get(kind, ("", ""))[0], "none")
+        width = 2.2 if kind == EACH else 1.0
+        line = page.line(
+            (x1, y1 + _HEIGHT / 2),
+            (x2, y2 - _HEIGHT / 2),
+            stroke="#444444",
+            stroke_width=width,
+            stroke_dasharray=dash,
+        )
+        line.set_markers((None, None, arrow))
+        page.add(line)
+    for vertex in vertices:
+        (x, y), size = vertex.view.xy, vertex.view
+        page.add(
+            page.rect(
+                (x - size.w / 2, y - _HEIGHT / 2),
+                (size.w, _HEIGHT),
+                rx=4,
+                fill=vertex.data.colour,
+                stroke="#444444",
+            )
+        )
+        page.add(
+            page.text(
+                _text(vertex.data),
+                insert=(x, y + 4),
+                text_anchor="middle",
+                font_size=12,
+                font_family="monospace",
+            )
+        )
+    return str(page.tostring())
+
+
+def _text(box: Box) -> str:
+    return f"{box.label} ({box.tasks})" if box.tasks > 1 else box.label
--- /dev/null
+++ b/tealrill/client/__init__.py
@@ -0,0 +1,50 @@
+"""What users import: submit, watch and cancel jobs and task graphs, blocking or with asyncio.
+
+Values are not passed between tasks: a task is an image that runs on a machine, and data moves by
+images and the users' own storage. What a reference stands for is that a task has ended.
+
+    from tealrill.client import Client, Graph
+
+    graph = Graph("fam412", team="foundry", job_class="subset-builds")
+
+    @graph.remote(image="subsetter-12", image_gb=1.8, cpus=8, memory_gb=25, estimate_s=50)
+    def subset(script): ...
+
+    @graph.remote(image="packer-3", image_gb=0.4, cpus=2, memory_gb=4, estimate_s=20)
+    def pack(parts): ...
+
+    pack.remote(subset.map(["latin", "greek", "cyrillic"]))
+    with Client("10.0.0.1:8080") as client:
+        run = client.submit(graph)
+        ready, rest = run.wait(num_returns=1, timeout_s=60)
+"""
+
+from tealrill.client.calls import (
+    BadRequest,
+    ClientError,
+    GaveUp,
+    NotFound,
+    Response,
+    Retry,
+)
+from tealrill.client.connection import AsyncClient, AsyncRun, Client, Run
+from tealrill.client.graph import Graph, ObjectRef, Task, each, ended, failed
+
+__all__ = [
+    "AsyncClient",
+    "AsyncRun",
+    "BadRequest",
+    "Client",
+    "ClientError",
+    "GaveUp",
+    "Graph",
+    "NotFound",
+    "ObjectRef",
+    "Response",
+    "Retry",
+    "Run",
+    "Task",
+    "each",
+    "ended",
+    "failed",
+]
--- /dev/null
+++ b/tealrill/client/calls.py
@@ -0,0 +1,268 @@
+"""What a client does, without saying how it is sent: requests, pauses, and what answers mean.
+
+Each call is a generator that yields requests and pauses and is sent responses, so that the blocking
+client and the asyncio one are the same code (`connection.py` has their two loops). The rules for
+trying again are the protocol's: anything but a final status is repeated after `Retry-After`, or
+after a second that grows, under the same id, until a time is up. Every call here can be repeated
+without doing anything twice, since its user chose the id.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Generator, Sequence
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+
+import orjson
+
+T = TypeVar("T")
+
+SUBMIT: Final = frozenset({200, 201})
+_FINAL_ERRORS: Final = frozenset({400, 404, 405, 409, 422})
+_MOST_PAUSE_S: Final = 30.0
+
+
+class ClientError(Exception):
+    """A call that did not do what was asked."""
+
+
+class BadRequest(ClientError):
+    """The service will never take this; its answer says why."""
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        where = [f"{name} {body[name]!r}" for name in ("node", "field") if name in body]
+        text = str(body.get("error", "refused"))
+        super().__init__(f"{status}: {text}" + (f" ({', '.join(where)})" if where else ""))
+        self.status = status
+        self.body = body
+
+
+class NotFound(BadRequest):
+    """There is no such job or graph."""
+
+
+class GaveUp(ClientError):
+    """No final answer within the time. Whether it was done is not known; asking again is safe."""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """To be sent; `timeout_s` bounds the wait for its response."""
+
+    method: str
+    path: str
+    body: bytes | None
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """To be waited for before the next request."""
+
+    s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """What came back; status 0 if nothing did."""
+
+    status: int
+    body: dict[str, Any]
+    retry_after_s: float | None = None
+
+
+Step = Request | Pause
+Call = Generator[Step, Response | None, T]
+"""A call: yields what to do next; a request is answered with a response, a pause with None."""
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """How long a call goes on."""
+
+    total_s: float = 60.0
+    first_s: float = 1.0
+    """The first pause; each is half as long again as the one before, give or take a quarter."""
+    timeout_s: float = 5.0
+
+
+def read(status: int, content: bytes, retry_after: str | None) -> Response:
+    """A response from what came over the wire; a body that is no JSON object counts as none."""
+    try:
+        body = orjson.loads(content)
+    except orjson.JSONDecodeError:
+        body = None
+    if not isinstance(body, dict):
+        return Response(0 if status in SUBMIT else status, {})
+    after = None
+    if retry_after is not None and retry_after.isascii() and retry_after.isdigit():
+        after = min(float(retry_after), _MOST_PAUSE_S)
+    return Response(status, body, after)
+
+
+class Clock:
+    """Asked for the time, and for luck; tests bring their own."""
+
+    def __init__(self, now: Any, luck: random.Random | None = None) -> None:
+        self.now = now
+        self.luck = luck or random.Random()
+
+
+def call(
+    clock: Clock,
+    retry: Retry,
+    method: str,
+    path: str,
+    message: Any = None,
+    good: frozenset[int] = SUBMIT,
+) -> Call[Response]:
+    """One request, repeated until its answer is final; raises `BadRequest` or `GaveUp`."""
+    body = None if message is None else orjson.dumps(message)
+    until = clock.now() + retry.total_s
+    pause_s = retry.first_s
+    last = "no answer"
+    while True:
+        response = yield Request(method, path, body, retry.timeout_s)
+        assert response is not None
+        if response.status in good:
+            return response
+        if response.status == 404:
+            raise NotFound(404, response.body)
+        if response.status in _FINAL_ERRORS:
+            raise BadRequest(response.status, response.body)
+        if response.status:
+            last = f"status {response.status}: {response.body.get('error', '')}"
+        wait_s = max(pause_s, response.retry_after_s or 0.0)
+        if clock.now() + wait_s > until:
+            raise GaveUp(f"{method} {path}: {last}")
+        yield Pause(wait_s * clock.luck.uniform(1.0, 1.25))
+        pause_s = min(_MOST_PAUSE_S, 1.5 * pause_s)
+
+
+# -- jobs -----------------------------------------------------------------------------------------
+
+
+def submit_job(clock: Clock, retry: Retry, job: dict[str, Any]) -> Call[dict[str, Any]]:
+    """`job` in the protocol's words, its `id` included."""
+    response = yield from call(clock, retry, "POST", "/v2/runs", job)
+    return response.body
+
+
+def job_status(clock: Clock, retry: Retry, job_id: str) -> Call[dict[str, Any]]:
+    response = yield from call(clock, retry, "GET", f"/v2/runs/{job_id}")
+    return response.body
+
+
+def cancel_job(clock: Clock, retry: Retry, job_id: str) -> Call[dict[str, Any]]:
+    response = yield from call(clock, retry, "POST", f"/v2/runs/{job_id}/cancel", {})
+    return response.body
+
+
+# -- graphs ---------------------------------------------------------------------------------------
+
+_PART_BYTES: Final = 48 * 1024
+"""Of a part's nodes; a body may have 64 KiB."""
+
+
+def split(nodes: Sequence[dict[str, Any]], most_bytes: int = _PART_BYTES) -> list[list[Any]]:
+    """The nodes in parts, each within a body; always the same parts for the same nodes."""
+    parts: list[list[Any]] = []
+    size = most_bytes
+    for node in nodes:
+        length = len(orjson.dumps(node)) + 1
+        if size + length > most_bytes:
+            parts.append([])
+            size = 0
+        parts[-1].append(node)
+        size += length
+    return parts
+
+
+def submit_graph(
+    clock: Clock, retry: Retry, head: dict[str, Any], nodes: Sequence[dict[str, Any]]
+) -> Call[dict[str, Any]]:
+    """A whole graph, in one request if it fits one, otherwise begun, filled and sealed."""
+    parts = split(nodes)
+    if len(parts) <= 1:
+        message = {**head, "nodes": list(nodes), "seal": True}
+        response = yield from call(clock, retry, "POST", "/v2/graphs", message)
+        return response.body
+    response = yield from call(clock, retry, "POST", "/v2/graphs", {**head, "seal": False})
+    if response.body.get("status") != "open":
+        # Accepted before: the answer to its last request was lost.
+        return response.body
+    path = f"/v2/graphs/{head['id']}"
+    for number, part in enumerate(parts):
+        yield from call(clock, retry, "PUT", f"{path}/parts/{number}", {"nodes": part})
+    # A large graph is read back whole before it is accepted.
+    patient = Retry(retry.total_s, retry.first_s, max(retry.timeout_s, 30.0))
+    response = yield from call(clock, patient, "POST", f"{path}/seal", {"parts": len(parts)})
+    return response.body
+
+
+def show_graph(clock: Clock, retry: Retry, graph: str) -> Call[dict[str, Any]]:
+    response = yield from call(clock, retry, "GET", f"/v2/graphs/{graph}")
+    return response.body
+
+
+def cancel_graph(clock: Clock, retry: Retry, graph: str) -> Call[dict[str, Any]]:
+    response = yield from call(clock, retry, "POST", f"/v2/graphs/{graph}/cancel", {})
+    return response.body
+
+
+def list_nodes(
+    clock: Clock, retry: Retry, graph: str, state: str | None = None, most: int | None = None
+) -> Call[list[dict[str, Any]]]:
+    """Nodes in their order, page after page."""
+    found: list[dict[str, Any]] = []
+    start: int | None = 0
+    chosen = "" if state is None else f"&state={state}"
+    while start is not None and (most is None or len(found) < most):
+        path = f"/v2/graphs/{graph}/nodes?from={start}&most=500{chosen}"
+        response = yield from call(clock, retry, "GET", path)
+        found += response.body["nodes"]
+        start = response.body["next"]
+    return found[:most]
+
+
+OVER_STATES: Final = frozenset({"done", "failed", "cancelled", "skipped"})
+_FEW: Final = 8
+"""So many nodes are asked for one by one; more by the graph's listing."""
+
+
+def ended(clock: Clock, retry: Retry, graph: str, ids: Sequence[str]) -> Call[set[str]]:
+    """Those of the nodes that have ended."""
+    if len(ids) > _FEW:
+        nodes = yield from list_nodes(clock, retry, graph)
+        over = {node["id"] for node in nodes if node["state"] in OVER_STATES}
+        return over & set(ids)
+    found: set[str] = set()
+    for job_id in ids:
+        body = yield from job_status(clock, retry, job_id)
+        if body["status"] in ("done", "aborted"):
+            found.add(job_id)
+    return found
+
+
+def wait(
+    clock: Clock,
+    retry: Retry,
+    graph: str,
+    ids: Sequence[str],
+    count: int,
+    timeout_s: float | None,
+    poll_s: float,
+) -> Call[set[str]]:
+    """Until `count` of the nodes have ended or the time is up; those that have."""
+    until = None if timeout_s is None else clock.now() + timeout_s
+    over: set[str] = set()
+    while True:
+        left = [job_id for job_id in ids if job_id not in over]
+        over |= yield from ended(clock, retry, graph, left)
+        if len(over) >= count:
+            return over
+        if until is not None and clock.now() >= until:
+            return over
+        pause_s = poll_s if until is None else min(poll_s, max(0.01, until - clock.now()))
+        yield Pause(pause_s)
--- /dev/null
+++ b/tealrill/client/connection.py
@@ -0,0 +1,297 @@
+"""The blocking client and the asyncio one: two loops over the same calls, on httpx."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Iterable, Sequence
+from types import TracebackType
+from typing import Any, Self, TypeVar
+
+import httpx
+
+from tealrill.client import calls
+from tealrill.client.calls import Call, Clock, Pause, Request, Response, Retry
+from tealrill.client.graph import Graph, ObjectRef
+
+T = TypeVar("T")
+
+_POLL_S = 2.0
+
+
+def _urls(addresses: str | Sequence[str]) -> list[str]:
+    given = [addresses] if isinstance(addresses, str) else list(addresses)
+    if not given:
+        raise ValueError("no address")
+    return [a if a.startswith(("http://", "https://")) else f"http://{a}" for a in given]
+
+
+def _response(answer: httpx.Response) -> Response:
+    return calls.read(answer.status_code, answer.content, answer.headers.get("Retry-After"))
+
+
+class _Turns:
+    """Several addresses: after a failed connection the next one is asked."""
+
+    def __init__(self, addresses: str | Sequence[str]) -> None:
+        self._urls = _urls(addresses)
+        self._at = 0
+
+    def url(self, path: str) -> str:
+        return self._urls[self._at] + path
+
+    def next(self) -> None:
+        self._at = (self._at + 1) % len(self._urls)
+
+
+class Run:
+    """A submitted graph."""
+
+    def __init__(self, client: Client, graph: str, refs: Sequence[ObjectRef]) -> None:
+        self._client = client
+        self.graph = graph
+        self._refs = list(refs)
+
+    def progress(self) -> dict[str, Any]:
+        """Status and counts of nodes by state, as the service has them."""
+        return self._client.show_graph(self.graph)
+
+    def status(self, ref: ObjectRef) -> dict[str, Any]:
+        return self._client.job_status(ref.id)
+
+    def cancel(self) -> str:
+        """How the graph ended: `aborted`, unless it was over already."""
+        return str(self._client.cancel_graph(self.graph)["status"])
+
+    def wait(
+        self,
+        refs: Iterable[ObjectRef] | None = None,
+        *,
+        num_returns: int | None = None,
+        timeout_s: float | None = None,
+        poll_s: float = _POLL_S,
+    ) -> tuple[list[ObjectRef], list[ObjectRef]]:
+        """Waits until `num_returns` of the nodes (default: all) have ended in any way, or for
+        `timeout_s`; those that have and those that have not, in the order given."""
+        chosen = self._refs if refs is None else list(refs)
+        count = len(chosen) if num_returns is None else num_returns
+        over = self._client.do(
+            calls.wait(
+                self._client.clock,
+                self._client.retry,
+                self.graph,
+                [ref.id for ref in chosen],
+                count,
+                timeout_s,
+                poll_s,
+            )
+        )
+        return [r for r in chosen if r.id in over], [r for r in chosen if r.id not in over]
+
+
+class Client:
+    """A blocking client. `addresses` are those of the load balancer, or of the nodes."""
+
+    def __init__(self, addresses: str | Sequence[str], retry: Retry | None = None) -> None:
+        self._turns = _Turns(addresses)
+        self._http = httpx.Client(trust_env=False)
+        self.retry = retry or Retry()
+        self.clock = Clock(time.monotonic)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        self._http.close()
+
+    def do(self, call: Call[T]) -> T:
+        """Runs one call to its end."""
+        answer: Response | None = None
+        try:
+            while True:
+                step = call.send(answer)
+                answer = None
+                if isinstance(step, Pause):
+                    time.sleep(step.s)
+                else:
+                    answer = self._send(step)
+        except StopIteration as end:
+            result: T = end.value
+            return result
+
+    def _send(self, request: Request) -> Response:
+        try:
+            return _response(
+                self._http.request(
+                    request.method,
+                    self._turns.url(request.path),
+                    content=request.body,
+                    headers={"Content-Type": "application/json"},
+                    timeout=request.timeout_s,
+                )
+            )
+        except httpx.TransportError:
+            self._turns.next()
+            return Response(0, {})
+
+    def submit(self, graph: Graph) -> Run:
+        """Submits a graph; under the same id it is the same graph, however often."""
+        self.submit_graph(graph.head, graph.nodes)
+        return Run(self, graph.id, graph.refs)
+
+    def submit_graph(self, head: dict[str, Any], nodes: Sequence[dict[str, Any]]) -> dict[str, Any]:
+        """The same in the protocol's words."""
+        return self.do(calls.submit_graph(self.clock, self.retry, head, nodes))
+
+    def show_graph(self, graph: str) -> dict[str, Any]:
+        return self.do(calls.show_graph(self.clock, self.retry, graph))
+
+    def list_nodes(
+        self, graph: str, state: str | None = None, most: int | None = None
+    ) -> list[dict[str, Any]]:
+        return self.do(calls.list_nodes(self.clock, self.retry, graph, state, most))
+
+    def cancel_graph(self, graph: str) -> dict[str, Any]:
+        return self.do(calls.cancel_graph(self.clock, self.retry, graph))
+
+    def submit_job(self, job: dict[str, Any]) -> dict[str, Any]:
+        """A plain job in the protocol's words."""
+        return self.do(calls.submit_job(self.clock, self.retry, job))
+
+    def job_status(self, job_id: str) -> dict[str, Any]:
+        return self.do(calls.job_status(self.clock, self.retry, job_id))
+
+    def cancel_job(self, job_id: str) -> dict[str, Any]:
+        return self.do(calls.cancel_job(self.clock, self.retry, job_id))
+
+
+class AsyncRun:
+    """A submitted graph, for asyncio; `Run` says what each call does."""
+
+    def __init__(self, client: AsyncClient, graph: str, refs: Sequence[ObjectRef]) -> None:
+        self._client = client
+        self.graph = graph
+        self._refs = list(refs)
+
+    async def progress(self) -> dict[str, Any]:
+        return await self._client.show_graph(self.graph)
+
+    async def status(self, ref: ObjectRef) -> dict[str, Any]:
+        return await self._client.job_status(ref.id)
+
+    async def cancel(self) -> str:
+        return str((await self._client.cancel_graph(self.graph))["status"])
+
+    async def wait(
+        self,
+        refs: Iterable[ObjectRef] | None = None,
+        *,
+        num_returns: int | None = None,
+        timeout_s: float | None = None,
+        poll_s: float = _POLL_S,
+    ) -> tuple[list[ObjectRef], list[ObjectRef]]:
+        chosen = self._refs if refs is None else list(refs)
+        count = len(chosen) if num_returns is None else num_returns
+        over = await self._client.do(
+            calls.wait(
+                self._client.clock,
+                self._client.retry,
+                self.graph,
+                [ref.id for ref in chosen],
+                count,
+                timeout_s,
+                poll_s,
+            )
+        )
+        return [r for r in chosen if r.id in over], [r for r in chosen if r.id not in over]
+
+
+class AsyncClient:
+    """The same for asyncio."""
+
+    def __init__(self, addresses: str | Sequence[str], retry: Retry | None = None) -> None:
+        self._turns = _Turns(addresses)
+        self._http = httpx.AsyncClient(trust_env=False)
+        self.retry = retry or Retry()
+        self.clock = Clock(time.monotonic)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        await self._http.aclose()
+
+    async def do(self, call: Call[T]) -> T:
+        """Runs one call to its end."""
+        answer: Response | None = None
+        try:
+            while True:
+                step = call.send(answer)
+                answer = None
+                if isinstance(step, Pause):
+                    await asyncio.sleep(step.s)
+                else:
+                    answer = await self._send(step)
+        except StopIteration as end:
+            result: T = end.value
+            return result
+
+    async def _send(self, request: Request) -> Response:
+        try:
+            return _response(
+                await self._http.request(
+                    request.method,
+                    self._turns.url(request.path),
+                    content=request.body,
+                    headers={"Content-Type": "application/json"},
+                    timeout=request.timeout_s,
+                )
+            )
+        except httpx.TransportError:
+            self._turns.next()
+            return Response(0, {})
+
+    async def submit(self, graph: Graph) -> AsyncRun:
+        await self.submit_graph(graph.head, graph.nodes)
+        return AsyncRun(self, graph.id, graph.refs)
+
+    async def submit_graph(
+        self, head: dict[str, Any], nodes: Sequence[dict[str, Any]]
+    ) -> dict[str, Any]:
+        return await self.do(calls.submit_graph(self.clock, self.retry, head, nodes))
+
+    async def show_graph(self, graph: str) -> dict[str, Any]:
+        return await self.do(calls.show_graph(self.clock, self.retry, graph))
+
+    async def list_nodes(
+        self, graph: str, state: str | None = None, most: int | None = None
+    ) -> list[dict[str, Any]]:
+        return await self.do(calls.list_nodes(self.clock, self.retry, graph, state, most))
+
+    async def cancel_graph(self, graph: str) -> dict[str, Any]:
+        return await self.do(calls.cancel_graph(self.clock, self.retry, graph))
+
+    async def submit_job(self, job: dict[str, Any]) -> dict[str, Any]:
+        return await self.do(calls.submit_job(self.clock, self.retry, job))
+
+    async def job_status(self, job_id: str) -> dict[str, Any]:
+        return await self.do(calls.job_status(self.clock, self.retry, job_id))
+
+    async def cancel_job(self, job_id: str) -> dict[str, Any]:
+        return await self.do(calls.cancel_job(self.clock, self.retry, job_id))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -198,6 +198,7 @@
                 "loaners": message["loaners"], "status": "starting", "ageS": 0.0,
             }  # fmt: skip
             names.append(name)
+            self.standin.hired(name)
         return self.answer(200, {"kilns": names})
 
 
@@ -205,6 +206,7 @@
     def post(self) -> None:
         for name in self.body()["kilns"]:
             self.standin.machines.pop(name, None)
+            self.standin.returned(name)
         self.answer(200, {})
 
 
@@ -218,6 +220,9 @@
         self.machines: dict[str, dict[str, Any]] = {}
         self.rented = 0
         self.most = 1000
+        """So many machines are rented in all."""
+        self.hired: Callable[[str], None] = lambda _: None
+        self.returned: Callable[[str], None] = lambda _: None
 
 
 class _Orders(_Handler):
--- a/tools/load.py
+++ b/tools/load.py
@@ -22,13 +22,15 @@
 
 _REPORT_S = 1.0
 _LEASE_S = 10.0
+_BOOT_S = 3.0
 
 
 class _Worker(standins.Worker):
     """A machine whose tasks end by themselves and that reports over a kept connection."""
 
-    def __init__(self, name: str, luck: random.Random) -> None:
+    def __init__(self, name: str, luck: random.Random, task_s: tuple[float, float]) -> None:
         super().__init__(name)
+        self._task_s = task_s
         self._luck = luck
         self._changed = asyncio.Event()
         self._running: set[str] = set()
@@ -39,7 +41,7 @@
             if line["status"] == "running" and name not in self._running:
                 self._running.add(name)
                 asyncio.get_running_loop().call_later(
-                    self._luck.uniform(10, 40), self._finish, name
+                    self._luck.uniform(*self._task_s), self._finish, name
                 )
 
     def _finish(self, name: str) -> None:
@@ -47,9 +49,10 @@
             self.end(name, "done")
             self._changed.set()
 
-    async def run(self, node: Address) -> None:
+    async def run(self, node: Address, within_s: float = 10.0) -> None:
+        """Reports for ever, from a moment within `within_s` on."""
         client = Client(node, most=1)
-        await asyncio.sleep(self._luck.uniform(0, 10))
+        await asyncio.sleep(self._luck.uniform(0, within_s))
         while True:
             self._changed.clear()
             body = orjson.dumps(self.report())
@@ -136,40 +139,93 @@
             await asyncio.sleep(luck.expovariate(rate))
 
 
-async def _run(machines: int, rate: float, first: int, settings: Path, for_s: float) -> None:
+class _Machines:
+    """Workers of the machines that are rented."""
+
+    def __init__(
+        self, cloud: standins.Cloud, node: Address, luck: random.Random, task_s: tuple[float, float]
+    ) -> None:
+        self._cloud = cloud
+        self._node = node
+        self._luck = luck
+        self._task_s = task_s
+        self.workers: dict[str, tuple[_Worker, asyncio.Task[None]]] = {}
+
+    def up(self, name: str, within_s: float) -> _Worker:
+        worker = _Worker(name, self._luck, self._task_s)
+        self.workers[name] = (worker, asyncio.create_task(worker.run(self._node, within_s)))
+        return worker
+
+    def hired(self, name: str) -> None:
+        self._cloud.machines[name]["status"] = "running"
+        self.up(name, _BOOT_S)
+
+    def returned(self, name: str) -> None:
+        """Another may be rented in its place."""
+        known = self.workers.pop(name, None)
+        if known is not None:
+            known[1].cancel()
+            self._cloud.most += 1
+
+    def running(self) -> int:
+        return sum(
+            task["status"] == "running"
+            for worker, _ in self.workers.values()
+            for task in worker.tasks.values()
+        )
+
+
+async def _run(
+    machines: int,
+    rate: float,
+    first: int,
+    settings: Path,
+    for_s: float,
+    task_s: tuple[float, float],
+) -> None:
     luck = random.Random(1)
     state, cloud = standins.State(), standins.Cloud()
     settings.write_bytes(orjson.dumps(_settings(state, cloud)))
     node = Address("127.0.0.1", 18080)
-    workers = [_Worker(f"m-{n:06d}", luck) for n in range(1, machines + 1)]
-    for worker in workers:
+    fleet = _Machines(cloud, node, luck, task_s)
+    for number in range(1, machines + 1):
+        worker = fleet.up(f"m-{number:06d}", 10.0)
         cloud.machines[worker.name] = {
             "id": worker.name, "addr": worker.address, "build": "big", "hall": "north",
             "loaners": True, "status": "running", "ageS": 0.0,
         }  # fmt: skip
     cloud.rented = cloud.most = machines
-    tasks = [asyncio.create_task(worker.run(node)) for worker in workers]
-    tasks.append(asyncio.create_task(_submit(node, rate, first, luck)))
+    cloud.hired, cloud.returned = fleet.hired, fleet.returned
+    users = asyncio.create_task(_submit(node, rate, first, luck)) if rate > 0 else None
     for second in range(round(for_s)):
         await asyncio.sleep(1.0)
         if second % 10 == 9:
-            running = sum(
-                t["status"] == "running" for worker in workers for t in worker.tasks.values()
-            )
-            click.echo(f"{second + 1} s: {running} tasks run, {state.epoch} transactions")
-    for task in tasks:
+            click.echo(f"{second + 1} s: {fleet.running()} tasks run, {state.epoch} transactions")
+    if users is not None:
+        users.cancel()
+    for _, task in fleet.workers.values():
         task.cancel()
 
 
 @click.command()
 @click.option("--machines", default=330, show_default=True, help="Workers that report.")
-@click.option("--rate", default=1.0, show_default=True, help="Jobs submitted a second.")
+@click.option("--rate", default=1.0, show_default=True, help="Jobs submitted a second; 0: none.")
 @click.option("--first", default=50, show_default=True, help="Jobs submitted at once.")
 @click.option("--for-s", default=60.0, show_default=True, help="How long the load lasts.")
+@click.option(
+    "--task-s", default=(10.0, 40.0), show_default=True, help="Shortest and longest task."
+)
 @click.option("--settings", default="/tmp/load.json", type=click.Path(path_type=Path))
-def main(machines: int, rate: float, first: int, for_s: float, settings: Path) -> None:
+def main(
+    machines: int,
+    rate: float,
+    first: int,
+    for_s: float,
+    task_s: tuple[float, float],
+    settings: Path,
+) -> None:
     """Writes a settings file for the node, then loads it."""
-    asyncio.run(_run(machines, rate, first, settings, for_s))
+    asyncio.run(_run(machines, rate, first, settings, for_s, task_s))
 
 
 if __name__ == "__main__":
