--- a/tealrill/graphs/intake.py
+++ b/tealrill/graphs/intake.py
@@ -36,7 +36,14 @@
 from tealrill.graphs.records import BadGraphRecord, Head, Over, Packed
 from tealrill.graphs.tracker import STATES
 from tealrill.settings import Settings
-from tealrill.state.book import JOB_PREFIX, OUTCOME_CANCELLED, job_key, over_key
+from tealrill.state.book import (
+    JOB_PREFIX,
+    OUTCOME_CANCELLED,
+    OUTCOME_SKIPPED,
+    OVER_PREFIX,
+    job_key,
+    over_key,
+)
 from tealrill.state.client import (
     Committed,
     Failed,
@@ -46,7 +53,7 @@
     StateError,
     Unknown,
 )
-from tealrill.state.intake import Intake, Reply
+from tealrill.state.intake import Intake, Nameless, Reply
 from tealrill.types import ABSENT, JobId, Revision, parse_job_id, wall_now
 
 log = logging.getLogger(__name__)
@@ -59,9 +66,6 @@
 _PAGES: Final = 10
 """Pages looked through for one listing by state."""
 
-OPEN: Final = "open"
-ACCEPTED: Final = "accepted"
-
 _NO_GRAPH: Final = Reply(404, {"error": "no such graph"})
 
 
@@ -118,16 +122,19 @@
             return []
         return [records.graph_key(graph), records.graph_over_key(graph)]
 
-    async def status(self, job_id: JobId) -> str | None:
+    async def status(self, job_id: JobId) -> Nameless | None:
         node = parse_node_id(job_id)
         if node is None:
             return None
         found = await self._find(node[0])
         if found.over is not None:
-            return wire.JOB_CANCELLED if node[1] < found.over.nodes else None
+            cancelled = found.over.status == wire.JOB_CANCELLED
+            outcome = OUTCOME_CANCELLED if cancelled else OUTCOME_SKIPPED
+            gone = Nameless(wire.JOB_CANCELLED, outcome)
+            return gone if node[1] < found.over.nodes else None
         if found.head is None or found.head.status != records.ACCEPTED:
             return None
-        return wire.JOB_PENDING if node[1] < found.head.nodes else None
+        return Nameless(wire.JOB_PENDING) if node[1] < found.head.nodes else None
 
     async def refusal(self, job_id: JobId) -> Reply | None:
         graph = graph_prefix(job_id)
@@ -234,7 +241,9 @@
             if found.head is None and not await self._begin(graph, submission, whole):
                 continue
             if not submission.seal:
-                return Reply(201 if found.head is None else 200, {"id": graph, "status": OPEN})
+                return Reply(
+                    201 if found.head is None else 200, {"id": graph, "status": records.OPEN}
+                )
             return await self._seal(graph, 1)
         return _later("not decided")
 
@@ -257,7 +266,7 @@
 
     @staticmethod
     def _accepted(graph: str, head: Head) -> dict[str, Any]:
-        return {"id": graph, "status": ACCEPTED, "nodes": head.nodes, "edges": head.edges}
+        return {"id": graph, "status": records.ACCEPTED, "nodes": head.nodes, "edges": head.edges}
 
     async def _begin(self, graph: str, submission: Submission, whole: str) -> bool:
         """Claims the id and keeps part 0; False if it has to be looked at again."""
@@ -452,7 +461,7 @@
         head = found.head
         if head.status == records.OPEN:
             left_s = max(0.0, head.at + self._features.open_s - wall_now())
-            return Reply(200, {"id": graph, "status": OPEN, "openS": round(left_s)})
+            return Reply(200, {"id": graph, "status": records.OPEN, "openS": round(left_s)})
         counts = await self._counts(graph)
         return Reply(200, {**self._accepted(graph, head), "counts": counts})
 
@@ -468,7 +477,7 @@
         return await self._guarded(self._nodes, graph, state, start, most)
 
     async def _nodes(self, graph: str, state: str | None, start: int, most: int) -> Reply:
-        if state is not None and state not in (*STATES, "gated"):
+        if state is not None and state not in STATES:
             return Reply(400, {"error": f"one of {', '.join(STATES)}", "field": "state"})
         if parse_graph_id(graph) is None:
             return _NO_GRAPH
@@ -500,7 +509,7 @@
         """Of `_PAGE` nodes from `start` on, those that have a record, read in the order in which
         records move."""
         found: dict[int, str] = {}
-        for own, over in ((JOB_PREFIX, False), ("over/", True)):
+        for own, over in ((JOB_PREFIX, False), (OVER_PREFIX, True)):
             after = f"{own}{node_id(graph, start - 1)}" if start else None
             page = await self._client.page(f"{own}{graph}-", after, _PAGE)
             for entry in page.items:
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -18,7 +18,13 @@
 
 from tealrill import wire
 from tealrill.settings import Settings, Team
-from tealrill.state.book import JOB_PREFIX, RUN_PREFIX, job_key, over_key
+from tealrill.state.book import (
+    JOB_PREFIX,
+    OUTCOME_CANCELLED,
+    RUN_PREFIX,
+    job_key,
+    over_key,
+)
 from tealrill.state.client import (
     Busy,
     Committed,
@@ -58,15 +64,24 @@
 _NOT_FOUND: Final = Reply(404, {"error": "no such job"})
 
 
+@dataclass(frozen=True, slots=True)
+class Nameless:
+    """A job without a record of its own."""
+
+    status: str
+    """`pending` if it may get one yet, `aborted` if it has one in `over/` or never will."""
+    outcome: str = ""
+    """How it ended if it has none there."""
+
+
 class Names(Protocol):
     """Job ids that belong to a subsystem's record, whether or not they have one of their own."""
 
     def claims(self, job_id: JobId) -> list[str]:
         """Keys that must be absent for somebody else's job of this id to be accepted."""
 
-    async def status(self, job_id: JobId) -> str | None:
-        """Of an id without a record of its own: `pending` if it may get one yet, `aborted` if it
-        has one in `over/` or never will have one; None if it is no job at all."""
+    async def status(self, job_id: JobId) -> Nameless | None:
+        """Of an id without a record of its own; None if it is no job at all."""
 
     async def refusal(self, job_id: JobId) -> Reply | None:
         """Why a job of this id can't be accepted, if that will not change."""
@@ -214,7 +229,8 @@
                 # The owner's end is the job's, though its record is not moved yet.
                 over = await self._read_over(job_id)
                 if over is None:
-                    return Reply(200, wire.job_status(job_id, wire.JOB_CANCELLED))
+                    body = wire.job_status(job_id, wire.JOB_CANCELLED)
+                    return Reply(200, {**body, "outcome": OUTCOME_CANCELLED})
                 return self._final(job_id, over)
             if entry is not None:
                 done, running = await self._counts(job_id)
@@ -227,15 +243,18 @@
 
     async def _nameless(self, job_id: JobId) -> Reply:
         """A job without a record of its own."""
-        status = await self.names.status(job_id) if self.names is not None else None
-        if status is None:
+        found = await self.names.status(job_id) if self.names is not None else None
+        if found is None:
             return _NOT_FOUND
-        if status == wire.JOB_CANCELLED:
+        if found.status == wire.JOB_CANCELLED:
             # It may have run and ended between the readings.
             over = await self._read_over(job_id)
             if over is not None:
                 return self._final(job_id, over)
-        return Reply(200, wire.job_status(job_id, status))
+        body = wire.job_status(job_id, found.status)
+        if found.outcome:
+            body["outcome"] = found.outcome
+        return Reply(200, body)
 
     def _final(self, job_id: JobId, over: wire.KeyValue) -> Reply:
         status = over.value["status"]
@@ -315,12 +334,12 @@
         return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
 
     async def _cancel_nameless(self, job_id: JobId) -> Reply | None:
-        status = await self.names.status(job_id) if self.names is not None else None
-        if self.names is None or status is None:
+        found = await self.names.status(job_id) if self.names is not None else None
+        if self.names is None or found is None:
             return _NOT_FOUND
-        if status == wire.JOB_CANCELLED:
+        if found.status == wire.JOB_CANCELLED:
             over = await self._read_over(job_id)
-            status = over.value["status"] if over is not None else status
+            status = over.value["status"] if over is not None else found.status
             return Reply(200, wire.accepted(job_id, status))
         revision = await self.names.cancel(job_id)
         if revision is None:
--- a/tests/test_graphs_node.py
+++ b/tests/test_graphs_node.py
@@ -124,7 +124,8 @@
         for index in (3, 4, 5):
             worker.end(f"fam2-0000{index}/0", "done")
         await until(world, worker, graph_is(world, "fam2", "failed"))
-        assert await world.status("fam2-00002") == "aborted"
+        _, skipped = await world.send("GET", "/v2/runs/fam2-00002")
+        assert (skipped["status"], skipped["outcome"]) == ("aborted", "skipped")
         _, shown = await world.send("GET", "/v2/graphs/fam2")
         assert shown["counts"]["failed"] == shown["counts"]["skipped"] == 1
         assert shown["counts"]["done"] == 4
--- a/tools/load.py
+++ b/tools/load.py
@@ -213,7 +213,12 @@
 @click.option("--first", default=50, show_default=True, help="Jobs submitted at once.")
 @click.option("--for-s", default=60.0, show_default=True, help="How long the load lasts.")
 @click.option(
-    "--task-s", default=(10.0, 40.0), show_default=True, help="Shortest and longest task."
+    "--task-s",
+    nargs=2,
+    type=float,
+    default=(10.0, 40.0),
+    show_default=True,
+    help="Shortest and longest task.",
 )
 @click.option("--settings", default="/tmp/load.json", type=click.Path(path_type=Path))
 def main(
