Graphs: removal of graphs never sealed waits for no full bucket; take-over and expiry tested

Need: the parts of an expired graph were removed in sets that a small share of the changes might never have had at once, and blocked every release behind them.

Change: one by one. The two clients and the two loads share what they wrote twice.

Measured: an open graph of 40 parts is removed whole, a late part is refused; of 3,000 nodes with 2,000 over each of two leaders releases the 10 that are ready.

--- a/tealrill/client/connection.py
+++ b/tealrill/client/connection.py
@@ -37,13 +37,37 @@
         self._urls = _urls(addresses)
         self._at = 0
 
-    def url(self, path: str) -> str:
-        return self._urls[self._at] + path
+    def arguments(self, request: Request) -> dict[str, Any]:
+        """A request as httpx takes it."""
+        return {
+            "method": request.method,
+            "url": self._urls[self._at] + request.path,
+            "content": request.body,
+            "headers": {"Content-Type": "application/json"},
+            "timeout": request.timeout_s,
+        }
 
     def next(self) -> None:
         self._at = (self._at + 1) % len(self._urls)
 
 
+def _wait(
+    client: Client | AsyncClient,
+    graph: str,
+    refs: Sequence[ObjectRef],
+    count: int | None,
+    timeout_s: float | None,
+    poll_s: float,
+) -> Call[set[str]]:
+    ids = [ref.id for ref in refs]
+    wanted = len(ids) if count is None else count
+    return calls.wait(client.clock, client.retry, graph, ids, wanted, timeout_s, poll_s)
+
+
+def _parted(refs: Sequence[ObjectRef], over: set[str]) -> tuple[list[ObjectRef], list[ObjectRef]]:
+    return [ref for ref in refs if ref.id in over], [ref for ref in refs if ref.id not in over]
+
+
 class Run:
     """A submitted graph."""
 
@@ -74,19 +98,8 @@
         """Waits until `num_returns` of the nodes (default: all) have ended in any way, or for
         `timeout_s`; those that have and those that have not, in the order given."""
         chosen = self._refs if refs is None else list(refs)
-        count = len(chosen) if num_returns is None else num_returns
-        over = self._client.do(
-            calls.wait(
-                self._client.clock,
-                self._client.retry,
-                self.graph,
-                [ref.id for ref in chosen],
-                count,
-                timeout_s,
-                poll_s,
-            )
-        )
-        return [r for r in chosen if r.id in over], [r for r in chosen if r.id not in over]
+        call = _wait(self._client, self.graph, chosen, num_returns, timeout_s, poll_s)
+        return _parted(chosen, self._client.do(call))
 
 
 class Client:
@@ -129,15 +142,7 @@
 
     def _send(self, request: Request) -> Response:
         try:
-            return _response(
-                self._http.request(
-                    request.method,
-                    self._turns.url(request.path),
-                    content=request.body,
-                    headers={"Content-Type": "application/json"},
-                    timeout=request.timeout_s,
-                )
-            )
+            return _response(self._http.request(**self._turns.arguments(request)))
         except httpx.TransportError:
             self._turns.next()
             return Response(0, {})
@@ -199,19 +204,8 @@
         poll_s: float = _POLL_S,
     ) -> tuple[list[ObjectRef], list[ObjectRef]]:
         chosen = self._refs if refs is None else list(refs)
-        count = len(chosen) if num_returns is None else num_returns
-        over = await self._client.do(
-            calls.wait(
-                self._client.clock,
-                self._client.retry,
-                self.graph,
-                [ref.id for ref in chosen],
-                count,
-                timeout_s,
-                poll_s,
-            )
-        )
-        return [r for r in chosen if r.id in over], [r for r in chosen if r.id not in over]
+        call = _wait(self._client, self.graph, chosen, num_returns, timeout_s, poll_s)
+        return _parted(chosen, await self._client.do(call))
 
 
 class AsyncClient:
@@ -254,15 +248,7 @@
 
     async def _send(self, request: Request) -> Response:
         try:
-            return _response(
-                await self._http.request(
-                    request.method,
-                    self._turns.url(request.path),
-                    content=request.body,
-                    headers={"Content-Type": "application/json"},
-                    timeout=request.timeout_s,
-                )
-            )
+            return _response(await self._http.request(**self._turns.arguments(request)))
         except httpx.TransportError:
             self._turns.next()
             return Response(0, {})
--- a/tealrill/client/graph.py
+++ b/tealrill/client/graph.py
@@ -13,26 +13,14 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+import msgspec
+
+from tealrill import wire
+
 _WORDS: Final = {
-    "job_class": "lineup",
-    "team": "crew",
-    "kind": "shape",
-    "priority": "urgency",
-    "tasks": "pieces",
-    "cpus": "vcpus",
-    "gpus": "gpus",
-    "memory_gb": "memoryGb",
-    "image": "bundle",
-    "image_gb": "sizeGb",
-    "types": "builds",
-    "zone": "hall",
-    "one_zone": "samePlace",
-    "spread": "scatter",
-    "spot": "loaners",
-    "estimate_s": "guessS",
-    "checkpoint_s": "snapshotS",
-    "save_s": "flushS",
-    "deadline_s": "dueS",
+    field.name: field.encode_name
+    for field in msgspec.structs.fields(wire.JobSpec)
+    if field.name != "id"
 }
 """The field's words for a job, and the protocol's."""
 
--- a/tealrill/graphs/term.py
+++ b/tealrill/graphs/term.py
@@ -540,17 +540,20 @@
             return
         _, version = self._drafts[name]
         entries, _ = await self._term.client.scan(records.parts_prefix(name))
-        most = max(1, self._term.settings.params.state.txn_ops // 2)
-        keys = {entry.key: Revision(entry.version) for entry in entries[:most]}
-        if not keys:
-            keys = {records.graph_key(name): version}
+        left = {entry.key: Revision(entry.version) for entry in entries[:_IN_FLIGHT]}
+        if not left:
+            left = {records.graph_key(name): version}
+        self._expiring.add(name)
+        for key, stamp in list(left.items()):
 
-        def done(_: object) -> None:
-            self._expiring.discard(name)
-            self._wake.set()
+            def done(_: object, key: str = key) -> None:
+                left.pop(key)
+                if not left:
+                    self._expiring.discard(name)
+                    self._wake.set()
 
-        self._expiring.add(name)
-        self._term.keeper.join(Joined(keys, [wire.delete(key) for key in keys], done, done))
+            # One by one: a set of many waits for a bucket that may never be so full.
+            self._term.keeper.join(Joined({key: stamp}, [wire.delete(key)], done, done))
 
     # -- reading a graph ------------------------------------------------------------------------
 
--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -7,6 +7,7 @@
 import tracemalloc
 from typing import Any, cast
 
+import msgspec
 import orjson
 import pytest
 from hypothesis import given
@@ -25,7 +26,7 @@
 from tealrill.scheduler.model import JobView, Policy
 from tealrill.scheduler.queue import order
 from tealrill.state.book import Book, job_key
-from tealrill.state.client import StateClient
+from tealrill.state.client import Failed, StateClient
 from tealrill.state.election import Election, Leadership
 from tealrill.types import (
     LeaseId,
@@ -337,6 +338,88 @@
     asyncio.run(scenario())
 
 
+async def _settle_down(leader: Leader, part: GraphTerm, store: CheckedStore) -> None:
+    """Lets the leader write until it has nothing left to write."""
+    seen = store.epoch
+    for _ in range(60):
+        for name in [n for n, (head, _) in part._drafts.items() if head.status == "expired"]:
+            await part._clear_up(name)
+        part._advance()
+        batch = leader.keeper._gather(Steady(steady_now() + 10.0))
+        if batch.changes:
+            await leader.keeper._commit(batch)
+        for at, event in store.log:
+            if at > seen and (event.put or event.delete or "").startswith("job/"):
+                leader.job_changed(event)
+        seen = store.epoch
+
+
+def test_a_graph_that_is_never_sealed_is_removed_whole_and_runs_nothing() -> None:
+    async def scenario() -> None:
+        store = CheckedStore(random.Random(0))
+        store.calm = True
+        head = Head(v=1, status="open", at=wall_now() - 3590.0, digest="d", defaults=_DEFAULTS)
+        store.execute([], [wire.put("job/fam1", wire.plain(head))])
+        store.execute([], [wire.put("job/wk-1", {"spec": wire.plain(spec(id="wk-1")), "at": 0.0})])
+        for part_number in range(40):
+            for number, value in enumerate(records.pack([_node(f"n{part_number}")], 4096)):
+                key = records.fragment_key("fam1", part_number, number)
+                store.execute([], [wire.put(key, value)])
+        leader, part = _leader(store)
+        await leader._load()
+        await _settle_down(leader, part, store)
+        assert "job/fam1" in store.keys and len(store.keys) == 43
+        # Ten seconds later its time is up. A part that is on its way requires the open head.
+        open_stamp = store.keys["job/fam1"][1]
+        part._drafts["fam1"] = (
+            msgspec.structs.replace(head, at=head.at - 20.0),
+            Revision(open_stamp),
+        )
+        await _settle_down(leader, part, store)
+        late = store.execute(
+            [wire.guard("job/fam1", open_stamp)], [wire.put("part/fam1/00099.00", {})]
+        )
+        assert isinstance(late, Failed)
+        assert sorted(store.keys) == ["job/wk-1", "leader"]
+
+    asyncio.run(scenario())
+
+
+def test_a_take_over_with_thousands_of_gated_nodes() -> None:
+    """Of 3,000 nodes in 30 families two thirds are over; the next leader releases the rest."""
+
+    async def scenario() -> None:
+        store = CheckedStore(random.Random(0))
+        store.calm = True
+        nodes: list[Node] = []
+        for family in range(30):
+            first = f"f{family}"
+            nodes.append(_node(first))
+            nodes += [_node(f"{first}-{i}", first) for i in range(98)]
+            nodes.append(_node(f"{first}-all", *[f"{first}-{i}" for i in range(98)]))
+        _accepted(store, nodes)
+        done = [wire.put(f"over/fam1-{i:05d}", {"status": "done", "tasks": 1}) for i in range(2000)]
+        store.execute([], done)
+        for _ in range(2):
+            leader, part = _leader(store)
+            await leader._load()
+            await part._load("fam1")
+            counts = part.counts("fam1")
+            assert counts is not None and counts["done"] == 2000
+            assert counts["ready"] + counts["released"] == 10
+            batch_sizes = []
+            part._advance()
+            while (batch := leader.keeper._gather(steady_now())).changes:
+                batch_sizes.append(len(batch.changes))
+                await leader.keeper._commit(batch)
+            # Before the first of them is heard of, the next leader takes over.
+            assert sum(batch_sizes) in (10, 0)
+        released = [key for key in store.keys if key.startswith("job/fam1-")]
+        assert len(released) == 10
+
+    asyncio.run(scenario())
+
+
 def test_a_node_is_due_when_the_path_behind_it_still_fits() -> None:
     async def scenario() -> None:
         store = CheckedStore(random.Random(0))
--- a/tools/graph_cost.py
+++ b/tools/graph_cost.py
@@ -317,15 +317,7 @@
     path = Path("/tmp/graph-cost.json")
     path.write_bytes(orjson.dumps(config))
     node, operator = Address("127.0.0.1", 18080), Client(Address("127.0.0.1", 18081))
-    fleet = Machines(cloud, node, luck, (3.0, 5.0))
-    for number in range(1, machines + 1):
-        worker = fleet.up(f"m-{number:06d}", 1.0)
-        cloud.machines[worker.name] = {
-            "id": worker.name, "addr": worker.address, "build": "big", "hall": "north",
-            "loaners": True, "status": "running", "ageS": 0.0,
-        }  # fmt: skip
-    cloud.rented = cloud.most = machines
-    cloud.hired, cloud.returned = fleet.hired, fleet.returned
+    Machines(cloud, node, luck, (3.0, 5.0)).begin(machines, 1.0)
     daemon = _Daemon(path)
     daemon.start()
     try:
--- a/tools/load.py
+++ b/tools/load.py
@@ -151,6 +151,17 @@
         self._task_s = task_s
         self.workers: dict[str, tuple[_Worker, asyncio.Task[None]]] = {}
 
+    def begin(self, count: int, within_s: float) -> None:
+        """So many machines are up, and no more are to be had at a time."""
+        for number in range(1, count + 1):
+            worker = self.up(f"m-{number:06d}", within_s)
+            self._cloud.machines[worker.name] = {
+                "id": worker.name, "addr": worker.address, "build": "big", "hall": "north",
+                "loaners": True, "status": "running", "ageS": 0.0,
+            }  # fmt: skip
+        self._cloud.rented = self._cloud.most = count
+        self._cloud.hired, self._cloud.returned = self.hired, self.returned
+
     def up(self, name: str, within_s: float) -> _Worker:
         worker = _Worker(name, self._luck, self._task_s)
         self.workers[name] = (worker, asyncio.create_task(worker.run(self._node, within_s)))
@@ -188,14 +199,7 @@
     settings.write_bytes(orjson.dumps(settings_for(state, cloud)))
     node = Address("127.0.0.1", 18080)
     fleet = Machines(cloud, node, luck, task_s)
-    for number in range(1, machines + 1):
-        worker = fleet.up(f"m-{number:06d}", 10.0)
-        cloud.machines[worker.name] = {
-            "id": worker.name, "addr": worker.address, "build": "big", "hall": "north",
-            "loaners": True, "status": "running", "ageS": 0.0,
-        }  # fmt: skip
-    cloud.rented = cloud.most = machines
-    cloud.hired, cloud.returned = fleet.hired, fleet.returned
+    fleet.begin(machines, 10.0)
     users = asyncio.create_task(_submit(node, rate, first, luck)) if rate > 0 else None
     for second in range(round(for_s)):
         await asyncio.sleep(1.0)
