Notifications begun: the receiver's half, which takes each event once

Need: a web hook that fires twice charges a customer twice, and a sender alone can't prevent it: repetitions are to be told by the receiver.

CloudEvents in structured mode, signatures after Standard Webhooks with several keys. The daemon sends nothing yet.

--- /dev/null
+++ b/tealrill/receiver/hook.py
@@ -0,0 +1,166 @@
+"""A web hook as it comes over HTTP: its signature, its form, and what to answer.
+
+Events are CloudEvents 1.0 in structured mode, signed after Standard Webhooks 1.0. That signature
+covers the id, the time and the body. In binary mode the event's attributes travel in headers and
+would not be covered, so with a secret only structured mode is taken.
+"""
+
+from __future__ import annotations
+
+import binascii
+import sqlite3
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import orjson
+from cloudevents.core.base import BaseCloudEvent
+from cloudevents.core.bindings.http import HTTPMessage, from_http_event
+from cloudevents.core.exceptions import BaseCloudEventException
+from standardwebhooks import Webhook, WebhookVerificationError
+
+from tealrill.receiver.inbox import Inbox, Verdict
+
+STRUCTURED: Final = "application/cloudevents+json"
+MOST_BODY: Final = 64 * 1024
+_STATUSES: Final = {Verdict.APPLIED: 200, Verdict.REPEATED: 200, Verdict.EARLY: 409}
+
+
+class Refused(Exception):
+    """Raised by a handler: nothing of the event is kept, and the sender is to come again."""
+
+    def __init__(self, why: str, retry_after_s: int = 5) -> None:
+        super().__init__(why)
+        self.retry_after_s = retry_after_s
+
+
+class BadHook(Exception):
+    """What came is no event of ours; repeating it would not help."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event. (`subscription`, `number`) is unique for ever."""
+
+    id: str
+    type: str
+    source: str
+    subject: str | None
+    time: str | None
+    subscription: str
+    number: int
+    after: int
+    data: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What to answer."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+    verdict: Verdict | None = None
+
+
+Handler = Callable[[Event, sqlite3.Connection], object]
+"""Applies an event on the connection of the inbox; see `Inbox.take`."""
+
+
+class Receiver:
+    """Takes web hooks for an inbox."""
+
+    def __init__(self, inbox: Inbox, handler: Handler, secrets: Sequence[str] = ()) -> None:
+        """`secrets` are those shared with the sender (`whsec_...`); any of them may have signed, so
+        that keys can be changed. Without one, signatures are not looked at."""
+        self._inbox = inbox
+        self._handler = handler
+        self._keys = [Webhook(secret) for secret in secrets]
+
+    def take(self, headers: Mapping[str, str], body: bytes) -> Answer:
+        """Checks, applies and answers one request. Safe to be called from any thread."""
+        names = {name.lower(): value for name, value in headers.items()}
+        try:
+            self._check(names, body)
+            event = read(names, body)
+            if self._keys and names["webhook-id"] != event.id:
+                raise BadHook(400, "webhook-id is not the event's id")
+        except BadHook as error:
+            return _answer(error.status, {"error": str(error)})
+        try:
+            verdict = self._inbox.take(
+                event.subscription,
+                event.number,
+                event.after,
+                lambda connection: self._handler(event, connection),
+            )
+        except Refused as error:
+            after = {"Retry-After": str(error.retry_after_s)}
+            return _answer(503, {"error": str(error)}, after)
+        except sqlite3.OperationalError as error:
+            # Locked, or the disk is full: nothing was kept.
+            return _answer(503, {"error": str(error)}, {"Retry-After": "5"})
+        found = {"verdict": verdict.value, "last": self._inbox.last(event.subscription)}
+        return _answer(_STATUSES[verdict], found, verdict=verdict)
+
+    def _check(self, names: Mapping[str, str], body: bytes) -> None:
+        """The signature, by any of the keys. Comparison in constant time is the library's."""
+        if len(body) > MOST_BODY:
+            raise BadHook(413, "the body is larger than 64 KiB")
+        if not self._keys:
+            return
+        if not names.get("content-type", "").lower().startswith(STRUCTURED):
+            raise BadHook(415, f"signed events come as {STRUCTURED}")
+        for key in self._keys:
+            try:
+                key.verify(body, dict(names), json_parse=False)
+                return
+            except (WebhookVerificationError, ValueError, binascii.Error, OverflowError):
+                continue
+        raise BadHook(401, "no key has signed this, or its time is off")
+
+
+def _answer(
+    status: int,
+    body: dict[str, Any],
+    headers: dict[str, str] | None = None,
+    verdict: Verdict | None = None,
+) -> Answer:
+    given = {"Content-Type": "application/json", **(headers or {})}
+    return Answer(status, orjson.dumps(body), given, verdict)
+
+
+def read(names: Mapping[str, str], body: bytes) -> Event:
+    """An event from a request, in structured or binary mode; raises `BadHook`."""
+    try:
+        found = from_http_event(HTTPMessage(dict(names), body))
+        event = _event(found)
+    except (BaseCloudEventException, ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadHook(400, f"no event: {error}") from None
+    return event
+
+
+def _event(found: BaseCloudEvent) -> Event:
+    attributes = found.get_attributes()
+    subscription, number = attributes["subscription"], int(attributes["sequence"])
+    after = int(attributes["after"])
+    if not isinstance(subscription, str) or not 0 < len(subscription) <= 200:
+        raise BadHook(400, "subscription: missing or too long")
+    if not 0 <= after < number < 2**63:
+        raise BadHook(400, f"sequence {number} can't come after {after}")
+    time = found.get_time()
+    return Event(
+        id=found.get_id(),
+        type=found.get_type(),
+        source=found.get_source(),
+        subject=found.get_subject(),
+        time=time.isoformat() if time is not None else None,
+        subscription=subscription,
+        number=number,
+        after=after,
+        data=found.get_data(),
+    )
