Requests for graphs go by way of another node where the state service can't be reached

Need: a node refused by the state service answered 503 to every request for a graph, while polls and plain submissions went by another node.

Change: the relay takes any request; graphs' calls are served on the cluster address too. A budget that is used up is no reason to use another node's.

Measured: two nodes on loopback, one without a state service: submit, show, list and cancel through it are answered as by the other.

--- a/tealrill/api/relay.py
+++ b/tealrill/api/relay.py
@@ -45,30 +45,35 @@
 
     async def submit(self, body: bytes) -> Reply:
         there = (wire.JOBS_PATH, "POST", body)
-        return await self._either(self._local.submit(body), there, _SLOW_S)
+        return await self.either(self._local.submit(body), there, _SLOW_S)
 
     async def status(self, text: str) -> Reply:
         there = (f"{wire.JOBS_PATH}/{text}", "GET", None)
-        return await self._either(self._local.status(text), there, _SLOW_POLL_S)
+        return await self.either(self._local.status(text), there, _SLOW_POLL_S)
 
     async def cancel(self, text: str) -> Reply:
         there = (f"{wire.JOBS_PATH}/{text}/{wire.CANCEL_PATH}", "POST", b"")
-        return await self._either(self._local.cancel(text), there, _SLOW_POLL_S)
+        return await self.either(self._local.cancel(text), there, _SLOW_POLL_S)
 
-    async def _either(
+    async def either(
         self,
         local: Coroutine[Any, Any, Reply],
         there: tuple[str, str, bytes | None],
         slow_s: float,
+        timeout_s: float = _TIMEOUT_S,
     ) -> Reply:
-        """The first answer that settles the request; if none does, that of this node."""
+        """The first answer that settles the request; if none does, that of this node.
+
+        `there` is the same request as another node takes it: path, method and body. It is sent when
+        the own attempt could not be made, or has taken `slow_s`.
+        """
         here = asyncio.create_task(local)
         other: asyncio.Task[Reply | None] | None = None
         try:
             await asyncio.wait({here}, timeout=0.0 if self._failing() else slow_s)
             if not self._peers or (here.done() and not here.result().elsewhere):
                 return await here
-            other = asyncio.create_task(self._ask(*there))
+            other = asyncio.create_task(self._ask(*there, timeout_s))
             for first in asyncio.as_completed((here, other)):
                 reply = await first
                 if reply is not None and not reply.elsewhere:
@@ -79,11 +84,13 @@
             if other is not None:
                 other.cancel()
 
-    async def _ask(self, path: str, method: str, body: bytes | None) -> Reply | None:
+    async def _ask(
+        self, path: str, method: str, body: bytes | None, timeout_s: float
+    ) -> Reply | None:
         """Another node's answer; None if it brings nothing either."""
         peer = self._peers[0]
         try:
-            answer = await peer.request(method, PEER_PREFIX + path, body, _TIMEOUT_S)
+            answer = await peer.request(method, PEER_PREFIX + path, body, timeout_s)
             reply = Reply(answer.status, wire.decode(answer.body, dict[str, Any]))
         except (NoAnswer, wire.Malformed) as error:
             log.debug("asking another node: %s", error)
--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -71,6 +71,7 @@
         self._last_report: Steady | None = None
         self._fronts: list[Front] = []
         self.servers: list[Server] = []
+        self._relay = Relay(self.intake, settings, lambda: self._client.failing)
         self.subsystems = self._switched_on()
         for subsystem in self.subsystems:
             if subsystem.names is not None:
@@ -84,7 +85,12 @@
 
             found.append(
                 graphs(
-                    self._settings, self._features.graphs, self._client, self.intake, self.election
+                    self._settings,
+                    self._features.graphs,
+                    self._client,
+                    self.intake,
+                    self.election,
+                    self._relay,
                 )
             )
         return found
@@ -106,9 +112,8 @@
                     group.create_task(loop())
 
     def _listen(self) -> None:
-        relay = Relay(self.intake, self._settings, lambda: self._client.failing)
         users: list[Any] = [
-            *_user_rules("", relay),
+            *_user_rules("", self._relay),
             (wire.HEALTH_PATH, HealthHandler, {"healthy": lambda: True}),
         ]
         operators: list[Any] = [
--- a/tealrill/graphs/api.py
+++ b/tealrill/graphs/api.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from tealrill.api.base import JsonHandler
+from tealrill.api.relay import PEER_PREFIX, Relay
 from tealrill.graphs.intake import GraphIntake
 from tealrill.graphs.model import MOST_PARTS
 from tealrill.state.intake import Reply
@@ -13,24 +14,36 @@
 GRAPHS_PATH: Final = "/v2/graphs"
 COUNTS_PATH: Final = "/peer/graphs"
 _MOST_LISTED: Final = 500
+_SLOW_S: Final = 2.0
+"""A request that takes longer than this is handed to another node as well."""
+_PATIENCE_S: Final = 4.0
+"""How long that node may take; users wait five seconds."""
 
 
 class _GraphHandler(JsonHandler):
-    def initialize(self, graphs: GraphIntake) -> None:
+    def initialize(self, graphs: GraphIntake, relay: Relay | None = None) -> None:
         self._graphs = graphs
+        self._relay = relay
 
-    def answer(self, reply: Reply) -> None:
+    async def settle(self, local: Coroutine[Any, Any, Reply]) -> None:
+        """Answers from here; by way of another node if this one can't reach the records."""
+        request = self.request
+        if self._relay is None:
+            reply = await local
+        else:
+            there = (request.uri or "", request.method or "", request.body or None)
+            reply = await self._relay.either(local, there, _SLOW_S, _PATIENCE_S)
         self.reply(reply.status, reply.body, reply.retry_after_s)
 
 
 class GraphsHandler(_GraphHandler):
     async def post(self) -> None:
-        self.answer(await self._graphs.submit(self.request.body))
+        await self.settle(self._graphs.submit(self.request.body))
 
 
 class GraphHandler(_GraphHandler):
     async def get(self, graph: str) -> None:
-        self.answer(await self._graphs.show(graph))
+        await self.settle(self._graphs.show(graph))
 
 
 class PartHandler(_GraphHandler):
@@ -38,17 +51,17 @@
         if int(number) >= MOST_PARTS:
             self.reply(400, {"error": f"parts are numbered below {MOST_PARTS}", "field": "part"})
             return
-        self.answer(await self._graphs.put_part(graph, int(number), self.request.body))
+        await self.settle(self._graphs.put_part(graph, int(number), self.request.body))
 
 
 class SealHandler(_GraphHandler):
     async def post(self, graph: str) -> None:
-        self.answer(await self._graphs.seal(graph, self.request.body))
+        await self.settle(self._graphs.seal(graph, self.request.body))
 
 
 class CancelGraphHandler(_GraphHandler):
     async def post(self, graph: str) -> None:
-        self.answer(await self._graphs.cancel_graph(graph))
+        await self.settle(self._graphs.cancel_graph(graph))
 
 
 class NodesHandler(_GraphHandler):
@@ -61,9 +74,8 @@
                 return
             numbers[name] = int(text)
         state = self.get_argument("state", None)
-        self.answer(
-            await self._graphs.nodes(graph, state, numbers["from"], max(1, numbers["most"]))
-        )
+        most = max(1, numbers["most"])
+        await self.settle(self._graphs.nodes(graph, state, numbers["from"], most))
 
 
 class CountsHandler(JsonHandler):
@@ -80,11 +92,11 @@
             self.reply(200, counts)
 
 
-def user_routes(graphs: GraphIntake) -> list[Any]:
-    given = {"graphs": graphs}
-    one = GRAPHS_PATH + r"/([^/]+)"
+def _routes(prefix: str, given: dict[str, Any]) -> list[Any]:
+    graphs = prefix + GRAPHS_PATH
+    one = graphs + r"/([^/]+)"
     return [
-        (GRAPHS_PATH, GraphsHandler, given),
+        (graphs, GraphsHandler, given),
         (one, GraphHandler, given),
         (one + r"/parts/([0-9]{1,9})", PartHandler, given),
         (one + "/seal", SealHandler, given),
@@ -93,5 +105,13 @@
     ]
 
 
-def peer_routes(counts: Callable[[str], dict[str, int] | None]) -> list[Any]:
-    return [(COUNTS_PATH + r"/([^/]+)", CountsHandler, {"counts": counts})]
+def user_routes(graphs: GraphIntake, relay: Relay) -> list[Any]:
+    return _routes("", {"graphs": graphs, "relay": relay})
+
+
+def peer_routes(graphs: GraphIntake, counts: Callable[[str], dict[str, int] | None]) -> list[Any]:
+    """What other nodes hand on, and what they ask the leader."""
+    return [
+        (COUNTS_PATH + r"/([^/]+)", CountsHandler, {"counts": counts}),
+        *_routes(PEER_PREFIX, {"graphs": graphs}),
+    ]
--- a/tealrill/graphs/intake.py
+++ b/tealrill/graphs/intake.py
@@ -45,6 +45,7 @@
     over_key,
 )
 from tealrill.state.client import (
+    Busy,
     Committed,
     Failed,
     Refused,
@@ -69,8 +70,8 @@
 _NO_GRAPH: Final = Reply(404, {"error": "no such graph"})
 
 
-def _later(why: str) -> Reply:
-    return Reply(503, {"error": why}, retry_after_s=1)
+def _later(why: str, elsewhere: bool = False) -> Reply:
+    return Reply(503, {"error": why}, retry_after_s=1, elsewhere=elsewhere)
 
 
 def _conflict(why: str, **more: Any) -> Reply:
@@ -223,7 +224,9 @@
             return Reply(400, {"error": f"the state service can't keep it: {error}"})
         except StateError as error:
             log.debug("graphs: %s", error)
-            return _later("the state service can't be reached")
+            if isinstance(error, Busy):
+                return _later("too many submissions")
+            return _later("the state service can't be reached", elsewhere=True)
 
     async def _submit(self, body: bytes) -> Reply:
         submission = _decode(body, Submission)
@@ -337,7 +340,7 @@
     ) -> Committed | Failed | None:
         """None if it is not known whether it was executed. Plain submissions go first."""
         if not self._client.accepts.take_now(len(changes), urgent=False):
-            raise Refused("too many submissions")
+            raise Busy("too many submissions")
         try:
             return await self._client.commit(guards, changes, paid=True)
         except Unknown as error:
--- a/tealrill/graphs/subsystem.py
+++ b/tealrill/graphs/subsystem.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tealrill import wire
+from tealrill.api.relay import Relay
 from tealrill.features import GraphFeatures
 from tealrill.graphs.api import COUNTS_PATH, peer_routes, user_routes
 from tealrill.graphs.intake import GraphIntake
@@ -52,6 +53,7 @@
     client: StateClient,
     intake: Intake,
     election: Election,
+    relay: Relay,
 ) -> Subsystem:
     """The subsystem for one node."""
     counts = Counts(settings, election)
@@ -63,8 +65,8 @@
 
     return Subsystem(
         name="graphs",
-        user_routes=user_routes(asked),
-        peer_routes=peer_routes(counts.here),
+        user_routes=user_routes(asked, relay),
+        peer_routes=peer_routes(asked, counts.here),
         names=asked,
         term=term,
     )
--- a/tests/test_graphs_node.py
+++ b/tests/test_graphs_node.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import contextlib
+import copy
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import orjson
 import pytest
 
-from tealrill import features
-from tealrill.http import NoAnswer
+from tealrill import features, settings
+from tealrill.controller import Node
+from tealrill.http import Client, NoAnswer
 from tests.samples import SUBMISSION
 from tests.standins import Worker
-from tests.test_node import _PATIENCE_S, World, running
+from tests.test_node import _PATIENCE_S, World, free_address, running
 
 ON = features.Features(graphs=features.GraphFeatures(on=True))
 DEFAULTS = {k: v for k, v in SUBMISSION.items() if k not in ("id", "dueS")} | {
@@ -378,3 +381,45 @@
         assert await play("mixed", 6, 6) == (12, 8, 64.0)
 
     in_a_world(scenario)
+
+
+def test_a_node_cut_off_from_the_records_serves_graphs_by_another() -> None:
+    """Two nodes, one of them refused by the state service: its users notice nothing."""
+
+    async def scenario(world: World) -> None:
+        nodes = [node("a"), node("b", "a")]
+        assert (await submit(world, id="fam8", nodes=nodes))[0] == 201
+        values = copy.deepcopy(world.values)
+        values["host_name"] = "node-9"
+        values["client_listen"], values["cluster_listen"] = free_address(), free_address()
+        values["services"]["state"] = free_address()  # nobody listens there
+        values["members"] = [
+            {"host_name": "node-0", "zone": "north", "peer_addr": world.values["cluster_listen"]}
+        ]
+        other = Node(settings.parse(orjson.dumps(values)), ON)
+        task = asyncio.create_task(other.run())
+        try:
+            client = Client(settings.parse_address(values["client_listen"]))
+
+            async def send(method: str, path: str, body: Any = None) -> tuple[int, Any]:
+                raw = None if body is None else orjson.dumps(body)
+                while True:
+                    with contextlib.suppress(NoAnswer):
+                        answer = await client.request(method, path, raw, _PATIENCE_S)
+                        return answer.status, orjson.loads(answer.body)
+                    await asyncio.sleep(0.02)
+
+            assert (await send("GET", "/v2/graphs/fam8"))[1]["nodes"] == 2
+            assert (await send("GET", "/v2/graphs/fam8/nodes?most=1"))[1]["next"] == 1
+            graph = {"id": "fam9", "defaults": DEFAULTS, "nodes": nodes}
+            assert (await send("POST", "/v2/graphs", graph))[0] == 201
+            status, answer = await send("POST", "/v2/graphs/fam9/cancel", {})
+            assert (status, answer["status"]) == (200, "aborted")
+            assert (await send("GET", "/v2/graphs/none1"))[0] == 404
+            assert (await send("GET", "/v2/runs/fam9-00001"))[1]["status"] == "aborted"
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    in_a_world(scenario)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,7 +24,7 @@
 _PATIENCE_S = 30.0
 
 
-def _free_address() -> str:
+def free_address() -> str:
     (socket,) = netutil.bind_sockets(0, "127.0.0.1")
     port = socket.getsockname()[1]
     socket.close()
@@ -39,7 +39,7 @@
         self.cloud = Cloud()
         values = copy.deepcopy(SETTINGS)
         values["members"] = []
-        values["client_listen"], values["cluster_listen"] = _free_address(), _free_address()
+        values["client_listen"], values["cluster_listen"] = free_address(), free_address()
         values["services"] = {"cloud": self.cloud.address, "state": self.state.address}
         self.values = values
         self.switched = switched
