Connections for commands: nothing is gone through while there is room

Looked for what costs more: each command made a list of all machines twice and took a lock twice.

Change: a command takes its place without a lock while there are some, and looks at kept connections only when there are too many.

--- a/tealrill/fleet/lines.py
+++ b/tealrill/fleet/lines.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from typing import Final
 
@@ -35,8 +35,8 @@
         """How many machines there are, each with a connection for its reports."""
         self._clients: OrderedDict[MachineId, tuple[str, Client]] = OrderedDict()
         self._used: dict[MachineId, int] = {}
-        self._freed = asyncio.Condition()
         self._on_the_way = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
 
     def __len__(self) -> int:
         return len(self._clients)
@@ -65,15 +65,20 @@
 
     async def __aenter__(self) -> Lines:
         """Waits for a place: not more commands are on their way than there are sockets for."""
-        async with self._freed:
-            await self._freed.wait_for(lambda: self._on_the_way < self.most)
-            self._on_the_way += 1
+        while self._on_the_way >= self.most:
+            turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiting.append(turn)
+            await turn
+        self._on_the_way += 1
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        async with self._freed:
-            self._on_the_way -= 1
-            self._freed.notify()
+        self._on_the_way -= 1
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
 
     def _client(self, machine: MachineId, addr: str) -> Client:
         known = self._clients.get(machine)
@@ -89,7 +94,10 @@
 
     def _shrink(self) -> None:
         spare = len(self._clients) - self.most
-        for machine in [m for m in self._clients if m not in self._used][: max(0, spare)]:
+        if spare <= 0:
+            # Asked for twice a command: nothing is gone through while there is room.
+            return
+        for machine in [m for m in self._clients if m not in self._used][:spare]:
             self.drop(machine)
 
     def drop(self, machine: MachineId) -> None:
