Graphs read once more: one piece of code where there were two

Need: how a node ended was read from its record in two places, a graph's end was put together in two, and tasks were let go by the same loop in three.

Change: `records.outcome_of` and `records.end_of` serve the users' side and the leader's; `GraphTerm._open` and `_opened` are the only loops. A property that nobody read and a removal that had happened already are gone. Behaviour is unchanged.

--- a/tealrill/graphs/intake.py
+++ b/tealrill/graphs/intake.py
@@ -473,7 +473,7 @@
         counts = dict.fromkeys(STATES[3:], 0)
         entries, _ = await self._client.scan(records.graph_over_key(graph) + "-")
         for entry in entries:
-            counts[_state_name(entry.value)] += 1
+            counts[records.outcome_of(entry.value)] += 1
         return counts
 
     async def nodes(self, graph: str, state: str | None, start: int, most: int) -> Reply:
@@ -518,7 +518,7 @@
             for entry in page.items:
                 node = parse_node_id(parse_job_id(entry.key.removeprefix(own)) or "")
                 if node is not None:
-                    found[node[1]] = _state_name(entry.value) if over else "released"
+                    found[node[1]] = records.outcome_of(entry.value) if over else "released"
         return found
 
     async def _keys_of(self, graph: str, parts: int) -> list[str]:
@@ -550,16 +550,7 @@
             if head is None or head.status == records.EXPIRED:
                 return _NO_GRAPH
             key, end = records.graph_key(graph), records.graph_over_key(graph)
-            over = Over(
-                v=records.VERSION,
-                status="aborted",
-                at=wall_now(),
-                digest=head.digest,
-                nodes=head.nodes,
-                edges=head.edges,
-                parts=head.parts,
-                why="cancelled",
-            )
+            over = records.end_of(head, "aborted", wall_now(), "cancelled")
             if head.status == records.ACCEPTED:
                 first = wire.delete(key)
             else:
@@ -567,7 +558,7 @@
                 expired = msgspec.structs.replace(head, status="expired")
                 first = wire.put(key, msgspec.to_builtins(expired))
             guards = [wire.guard(key, found.stamp), wire.guard(end, ABSENT)]
-            changes = [first, wire.put(end, msgspec.to_builtins(over))]
+            changes = [first, wire.put(end, over)]
             try:
                 result = await self._client.commit(guards, changes)
             except Unknown:
@@ -583,10 +574,3 @@
     if len(body) > wire.MAX_BODY:
         raise wire.Malformed("the body is larger than 64 KiB")
     return wire.decode(body, kind)
-
-
-def _state_name(over: dict[str, Any]) -> str:
-    """How a node ended, by its record."""
-    if over.get("status") == wire.JOB_DONE:
-        return "done"
-    return str(over.get("outcome", OUTCOME_CANCELLED))
--- a/tealrill/graphs/records.py
+++ b/tealrill/graphs/records.py
@@ -19,14 +19,14 @@
 import hashlib
 import zlib
 from collections.abc import Iterable, Sequence
-from typing import Any, Final, Literal
+from typing import Any, Final, Literal, cast
 
 import msgspec
 import orjson
 
 from tealrill import wire
 from tealrill.graphs.model import Node, Retries
-from tealrill.state.book import JOB_PREFIX, OVER_PREFIX
+from tealrill.state.book import JOB_PREFIX, OUTCOME_CANCELLED, OUTCOME_DONE, OVER_PREFIX
 from tealrill.types import JobId
 
 PART_PREFIX: Final = "part/"
@@ -133,6 +133,35 @@
     return _read(value, Over)
 
 
+def end_of(
+    head: Head,
+    status: Literal["done", "failed", "aborted"],
+    at: float,
+    why: str = "",
+    counts: dict[str, int] | None = None,
+) -> dict[str, Any]:
+    """The value of `over/GRAPH` for a graph with this head."""
+    over = Over(
+        v=VERSION,
+        status=status,
+        at=at,
+        digest=head.digest,
+        nodes=head.nodes,
+        edges=head.edges,
+        parts=head.parts,
+        why=why,
+        counts=counts,
+    )
+    return cast(dict[str, Any], msgspec.to_builtins(over))
+
+
+def outcome_of(over: dict[str, Any]) -> str:
+    """How a node ended, by its record; one that its user cancelled as a job does not say so."""
+    if over.get("status") == wire.JOB_DONE:
+        return OUTCOME_DONE
+    return str(over.get("outcome", OUTCOME_CANCELLED))
+
+
 def _read(value: Any, kind: type[wire.T]) -> wire.T:
     version = value.get("v") if isinstance(value, dict) else None
     if version != VERSION:
--- a/tealrill/graphs/term.py
+++ b/tealrill/graphs/term.py
@@ -26,10 +26,9 @@
 from tealrill.features import GraphFeatures
 from tealrill.graphs import records
 from tealrill.graphs.model import BadGraph, Node, Shape, node_id, node_spec, parse_node_id, resolve
-from tealrill.graphs.records import BadGraphRecord, Head, Over, Packed
+from tealrill.graphs.records import BadGraphRecord, Head, Packed
 from tealrill.graphs.tracker import (
     OVER_CANCELLED,
-    OVER_DONE,
     OVER_FAILED,
     RELEASED,
     Progress,
@@ -251,9 +250,7 @@
         live = self._live.get(job.owner.name) if job.owner is not None else None
         if live is None or node is None:
             return
-        for follower, task in live.progress.tasks_done(node[1], tasks):
-            if follower in live.jobs:
-                self._term.book.open_task(live.jobs[follower], task)
+        self._opened(live, live.progress.tasks_done(node[1], tasks))
         self._wake.set()
 
     def owner_gone(self, owner: Owner) -> None:
@@ -277,8 +274,12 @@
             done = self._term.book.follow(job, steady_now())
             self._opened(live, progress.tasks_done(index, done))
         if job.opened is not None:
-            for task in progress.open_elements(index):
-                self._term.book.open_task(job, task)
+            self._open(live, index, job)
+
+    def _open(self, live: Live, index: int, job: Job) -> None:
+        """Lets all tasks go whose wait is over."""
+        for task in live.progress.open_elements(index):
+            self._term.book.open_task(job, task)
 
     def _opened(self, live: Live, freed: list[tuple[int, int]]) -> None:
         for follower, task in freed:
@@ -298,8 +299,7 @@
         for follower in live.progress.settle(index, state):
             job = live.jobs.get(follower)
             if job is not None:
-                for task in live.progress.open_elements(follower):
-                    self._term.book.open_task(job, task)
+                self._open(live, follower, job)
         if state == OVER_FAILED and live.head.on_failure == "stop" and not live.stopped_by:
             live.stopped_by = live.node(index).key
         for stuck in live.progress.stuck:
@@ -440,18 +440,7 @@
     # -- ends -----------------------------------------------------------------------------------
 
     def _end(self, live: Live, status: Any, why: str, counts: dict[str, int] | None) -> None:
-        head = live.head
-        over = Over(
-            v=records.VERSION,
-            status=status,
-            at=wall_now(),
-            digest=head.digest,
-            nodes=head.nodes,
-            edges=head.edges,
-            parts=head.parts,
-            why=why,
-            counts=counts,
-        )
+        over = records.end_of(live.head, status, wall_now(), why, counts)
         key = records.graph_over_key(live.name)
 
         def applied(_: Revision) -> None:
@@ -469,7 +458,7 @@
         self._term.keeper.join(
             Joined(
                 {live.owner.key: live.owner.stamp, key: ABSENT},
-                [wire.delete(live.owner.key), wire.put(key, msgspec.to_builtins(over))],
+                [wire.delete(live.owner.key), wire.put(key, over)],
                 applied,
                 refused,
             )
@@ -505,12 +494,10 @@
 
     def _forget_word(self, name: str, version: Revision) -> None:
         key = records.word_key(name)
-
-        def done(_: object) -> None:
-            self._words.pop(name, None)
-
         del self._words[name]
-        self._term.keeper.join(Joined({key: version}, [wire.delete(key)], done, done))
+        # A word that comes meanwhile is seen, and forgotten in its turn.
+        gone = Joined({key: version}, [wire.delete(key)], lambda _: None, lambda _: None)
+        self._term.keeper.join(gone)
 
     # -- graphs that were never sealed ----------------------------------------------------------
 
@@ -659,10 +646,7 @@
 
 
 def _state_of(over: dict[str, Any]) -> int:
-    """How a node ended, by its record."""
-    if over.get("status") == wire.JOB_DONE:
-        return OVER_DONE
-    return outcome_state(over.get("outcome", OUTCOME_CANCELLED))
+    return outcome_state(records.outcome_of(over))
 
 
 def _final_status(counts: dict[str, int]) -> str:
--- a/tealrill/graphs/tracker.py
+++ b/tealrill/graphs/tracker.py
@@ -92,11 +92,6 @@
         """Whether every node has ended or never will begin."""
         return not any(self.counts[:OVER_DONE])
 
-    @property
-    def live(self) -> int:
-        """Nodes that are ordinary jobs now, or about to be."""
-        return self.counts[READY] + self.counts[RELEASED]
-
     def counted(self) -> dict[str, int]:
         return dict(zip(STATES, self.counts, strict=True))
 
