--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -19,7 +19,9 @@
 from tealrill.api.users import CancelHandler, HealthHandler, JobHandler, JobsHandler
 from tealrill.features import Features
 from tealrill.fleet.cloud import Cloud, CloudError
+from tealrill.fleet.giveway import GiveWay
 from tealrill.leader import Leader
+from tealrill.scheduler import silence
 from tealrill.scheduler.estimates import Estimates
 from tealrill.seam import Subsystem
 from tealrill.settings import Settings, parse_address
@@ -42,6 +44,8 @@
 _RESIGN_PAUSE_S: Final = 10.0
 _SILENT_REPORTS: Final = 4.0
 _TERM_CHECK_S: Final = 0.5
+_STOOD_STILL_S: Final = 1.0
+_HEARD_BEFORE: Final = 2
 
 
 class Node:
@@ -69,6 +73,8 @@
         self._truce.seen = lambda: self.leader.seen if self.leader is not None else Revision(0)
         self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
+        self._giveway = GiveWay(settings)
+        self._truce.reports = lambda: self._giveway.recent(steady_now())
         self._fronts: list[Front] = []
         self.servers: list[Server] = []
         self._relay = Relay(self.intake, settings, lambda: self._client.failing)
@@ -203,6 +209,7 @@
         """A worker's report, answered with 200 only by a leader that is valid at this moment."""
         now = steady_now()
         self._last_report = now
+        self._giveway.took(now)
         mine = self.election.leading(now)
         if mine is None or self.leader is None:
             term = self._deputy.term(now)
@@ -233,21 +240,33 @@
 
     @property
     def _silent_s(self) -> float:
-        return max(4.0, _SILENT_REPORTS * self._settings.params.workers.report_s)
+        return max(4.0, _SILENT_REPORTS * self._report_s)
+
+    @property
+    def _report_s(self) -> float:
+        return self._settings.params.workers.report_s
 
     async def _check_hearing(self) -> None:
         """A leader that no worker reaches any more lets somebody else lead."""
         while True:
+            due = steady_now() + _TERM_CHECK_S
             await asyncio.sleep(_TERM_CHECK_S)
             leader, mine, last = self.leader, self.election.mine, self._last_report
-            if leader is None or mine is None or last is None:
-                continue
             now = steady_now()
+            if leader is None or mine is None or last is None or now - due > _STOOD_STILL_S:
+                # After a standstill of this node the workers' reports wait to be read.
+                continue
             heard = sum(
                 m.heard_at is not None and not m.lapsed for m in leader.fleet.machines.values()
             )
-            if heard >= 2 and now - last > self._silent_s and mine.valid(now):
+            if heard < _HEARD_BEFORE or not mine.valid(now):
+                continue
+            if now - last > self._silent_s:
                 await self.election.resign("no worker reports any more", _RESIGN_PAUSE_S)
+            elif silence.hears_nobody(now - last, heard, self._report_s) and (
+                await self._giveway.better(heard)
+            ):
+                await self.election.resign("workers report to others only", _RESIGN_PAUSE_S)
 
     def _cancelled_elsewhere(self, job: str) -> None:
         if self.leader is not None:
--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -10,8 +10,10 @@
 from tealrill import wire
 from tealrill.fleet.machines import Fleet, Machine
 from tealrill.fleet.rental import Renter
-from tealrill.scheduler import capacity
+from tealrill.scheduler import capacity, silence
+from tealrill.scheduler.capacity import Offer, Rental
 from tealrill.scheduler.estimates import Estimates, Sizes
+from tealrill.scheduler.losses import Losses
 from tealrill.scheduler.model import (
     Expected,
     JobView,
@@ -25,6 +27,7 @@
     remaining_s,
 )
 from tealrill.scheduler.plan import plan
+from tealrill.scheduler.silence import Hearing, Verdict
 from tealrill.settings import Params
 from tealrill.state.book import Binding, Book, Job
 from tealrill.types import JobId, MachineId, Revision, Steady, Wall
@@ -33,7 +36,7 @@
 
 _SERVICE_RUN_S: Final = 1e9
 _UNNAMED: Final = MachineId("")
-_SILENCE_REPORTS: Final = 3.0
+_ALL_HEARD: Final = Hearing({}, frozenset())
 _IDLE_S: Final = 20.0
 _EXPECTED_FOR_S: Final = 45.0
 """A class of which nothing was submitted for so long is not expected any more."""
@@ -41,6 +44,11 @@
 _LIKELY: Final = 0.7
 _MINIMUM_S: Final = 58.0
 _SILENT_RETURN_S: Final = 45.0
+_HEARD_SHARE: Final = 0.8
+_COMING_REPORTS: Final = 2.5
+"""For so many report periods at most a new leader waits for so large a part of the machines."""
+_UNHEARD_BOOTS: Final = 3.0
+"""A machine that the list calls running and nobody hears for so many boots more is returned."""
 RENT_EVERY_S: Final = 0.5
 """A machine takes many times as long to boot, so wishes for more are worked out more rarely than
 placement: in an overload they are the dearest part of a pass."""
@@ -64,7 +72,14 @@
         self._estimates = estimates
         self._params = params
         self._command_now = command_now
-        self._silence_s = _SILENCE_REPORTS * params.workers.report_s
+        self._silence_s = silence.silent_after_s(params.workers.report_s)
+        self.hearing: Callable[[], Hearing] = lambda: _ALL_HEARD
+        """What the silence of machines means, as it was judged last."""
+        self._losses = Losses()
+        self._acquainted = False
+        """This leader has heard most machines that were up when it was elected."""
+        self._coming_s = _COMING_REPORTS * params.workers.report_s
+        renter.granted = self._granted
         self._times = _deadline_times(params)
         self._prompt = {o.job_class for o in params.objectives if o.kind == "wait" and o.job_class}
         self._prompt_rank = 0
@@ -84,6 +99,7 @@
 
     def run(self, now: Steady, wall: Wall) -> None:
         """One pass."""
+        self._restore(now)
         view = self.view(now, wall)
         result = plan(view, now, self.policy)
         self.last = result
@@ -110,7 +126,7 @@
             self._teams(),
             self._expected(now),
             self._book.rank_cpus,
-            self._under_way(now),
+            self._under_way(now) + self._returning(now),
         )
 
     def _expected(self, now: Steady) -> Expected | None:
@@ -137,17 +153,44 @@
         if machine.notice_until is not None or machine.strangers:
             return None
         if machine.heard_at is None:
+            if not _boots(machine, self.hearing().verdicts.get(machine.id, Verdict.LATE)):
+                return None
             ready_at = Steady(max(machine.since + kind.boot_s, now + 1.0))
-        elif machine.placeable(now, self._silence_s):
+        elif machine.placeable(now, self._silence_s) and not self._gone(machine):
             ready_at = now
         else:
             return None
+        return self._seen(machine, kind, ready_at)
+
+    def _seen(self, machine: Machine, kind: wire.MachineType, ready_at: Steady) -> MachineView:
         view = machine.view
         if view is None or view.used:
             view = machine.view = self._fresh(machine, kind)
         view.ready_at = ready_at
         return view
 
+    def _returning(self, now: Steady) -> list[MachineView]:
+        """Silent machines that are likely to be back before a replacement would be up.
+
+        Nothing is placed on them. But what they will take again is not rented a second time, and
+        does not make jobs look unaffordable without dear machines. (250 machines hung for 19 s: 120
+        replacements were rented meanwhile, and 110 more while the hung ones came back.)
+        """
+        found: list[MachineView] = []
+        verdicts = self.hearing().verdicts
+        for machine in self._machines():
+            if machine.releasing or machine.draining or machine.notice_until is not None:
+                continue
+            verdict = verdicts.get(machine.id, Verdict.LATE)
+            silent_s = self._fleet.unheard_s(machine, now)
+            if silent_s <= self._silence_s or _boots(machine, verdict):
+                continue
+            kind = self._renter.type_of(machine.type)
+            back_s = silence.back_in_s(verdict, silent_s)
+            if kind is not None and back_s is not None and back_s <= kind.boot_s:
+                found.append(self._seen(machine, kind, Steady(now + back_s)))
+        return found
+
     def _fresh(self, machine: Machine, kind: wire.MachineType) -> MachineView:
         return MachineView(
             machine.id,
@@ -327,9 +370,16 @@
         self.put_off = now < self._rent_at and bool(result.unplaced)
         if not offers or now < self._rent_at:
             return
+        if not self._acquainted:
+            # Machines that a new leader has not heard yet seem to have no room. In the first second
+            # of a term one rented 116 of them a second time, the dear ones too.
+            self._acquainted = not self._fleet.still_coming(now, _HEARD_SHARE, self._coming_s)
+            if not self._acquainted:
+                self.put_off = True
+                return
         self._rent_at = Steady(now + RENT_EVERY_S)
         machines = view.machines + view.coming
-        available = self._renter.available(now)
+        available = self._available(now)
         # Behind what waits already: machines that boot while the tasks before them still run.
         soon = self.upcoming(now, max(o.boot_s for o in offers))
         unplaced = [*result.unplaced, *soon]
@@ -343,6 +393,66 @@
         for rental in wanted:
             self._renter.rent(rental, now)
 
+    def _available(self, now: Steady) -> list[Offer]:
+        """Not refused a short while ago, and not in a zone that is cut off from here.
+
+        A machine booted into a cut costs its price and takes no task. Zones are chosen by where we
+        have the fewest machines, which was just the one that is not heard.
+        """
+        cut = self.hearing().cut_zones
+        return [o for o in self._renter.available(now) if o.zone not in cut]
+
+    # -- after a fall -----------------------------------------------------------------------------
+
+    def _restore(self, now: Steady) -> None:
+        """Asks at once for what a fall took, in parts over all cheap kinds of the same type."""
+        if now < self._rent_at:
+            return
+        self._count_losses(now)
+        owed = self._losses.owed(now, len(self._fleet.machines))
+        if not owed:
+            return
+        asked: dict[str, float] = {}
+        for rental in self._renter.under_way():
+            kind = self._renter.type_of(rental.type)
+            cpus = kind.cpus * rental.count if kind is not None else 0.0
+            asked[rental.type] = asked.get(rental.type, 0.0) + cpus
+        available = [o for o in self._available(now) if not self._is_dear(o.type, o.spot)]
+        for type_name, cpus in owed.items():
+            offers = [o for o in available if o.type == type_name and o.cpus > 0]
+            missing = cpus - asked.get(type_name, 0.0)
+            if offers and missing > 0:
+                self._ask_for(offers, math.ceil(missing / offers[0].cpus), now)
+
+    def _ask_for(self, offers: list[Offer], count: int, now: Steady) -> None:
+        """So many machines, in even parts: who has how many to give is not known beforehand."""
+        for number, offer in enumerate(offers):
+            part = count // len(offers) + (number < count % len(offers))
+            if part > 0:
+                self._renter.rent(Rental(offer.type, offer.zone, offer.spot, part), now)
+
+    def _count_losses(self, now: Steady) -> None:
+        for machine in self._machines():
+            if (
+                self._gone(machine)
+                or machine.listed == wire.MACHINE_FAILED
+                or machine.notice_until is not None
+            ):
+                cpus = max(machine.cpus, machine.lapsed_cpus)
+                if self._losses.lost(machine.id, machine.type, cpus, now):
+                    # Refused while the fleet was whole; the cloud may have its place again.
+                    self._renter.refusals.freed((machine.type, machine.zone, machine.spot))
+            elif machine.heard_at is not None and now - machine.heard_at <= self._silence_s:
+                self._losses.back(machine.id)
+
+    def _gone(self, machine: Machine) -> bool:
+        return self.hearing().verdicts.get(machine.id) is Verdict.GONE
+
+    def _granted(self, rental: Rental) -> None:
+        kind = self._renter.type_of(rental.type)
+        if kind is not None:
+            self._losses.rented(rental.type, kind.cpus * rental.count)
+
     def _is_dear(self, type_name: str, spot: bool) -> bool:
         return self._renter.is_dear(type_name, spot, self.policy.dear)
 
@@ -430,7 +540,16 @@
         spare = _free(view.machines) - (view.expected.cpus if view.expected is not None else 0.0)
         silent = [m for m in self._machines() if m.lapsed]
         for machine in self._machines():
-            if machine.releasing or machine.bindings or machine.heard_at is None:
+            if machine.releasing:
+                continue
+            if self._gone(machine) and self._may_be_released(machine, now):
+                # The cloud counts a dead machine as ours until it is released, and has none to give
+                # in its place. It says itself that it failed, but only half a minute later.
+                self._release(machine, "gone")
+            if machine.bindings or machine.releasing:
+                continue
+            if machine.heard_at is None:
+                self._return_unheard(machine, now)
                 continue
             if machine.lapsed:
                 # Many silent machines at once mean that this node is cut off, not that they died.
@@ -452,11 +571,36 @@
                 spare -= size
                 self._release(machine, "idle")
 
+    def _may_be_released(self, machine: Machine, now: Steady) -> bool:
+        """Once its lease is over anyway, or at once if the cloud shows that it has taken it.
+
+        The release is the proof that its tasks are gone. Where a deputy or an unread permit keeps
+        every silent machine from lapsing, it is the only one: 109 machines' tasks once waited for
+        35 s behind a partition that did not concern them.
+        """
+        silent_s = self._fleet.unheard_s(machine, now)
+        return machine.unlisted >= silence.LISTS or silent_s > self._params.workers.lease_s
+
+    def _return_unheard(self, machine: Machine, now: Steady) -> None:
+        """The cloud says that it runs, its worker has not come, and its zone is heard."""
+        kind = self._renter.type_of(machine.type)
+        if kind is None or not machine.up or machine.zone in self.hearing().cut_zones:
+            return
+        gone = self._gone(machine)
+        patience_s = self._params.workers.lease_s if gone else _UNHEARD_BOOTS * kind.boot_s
+        if self._fleet.unheard_s(machine, now) > patience_s + kind.boot_s:
+            self._release(machine, "gone" if gone else "never heard")
+
     def _release(self, machine: Machine, why: str) -> None:
         log.info("returning machine %s: %s", machine.id, why)
         machine.releasing = True
 
 
+def _boots(machine: Machine, verdict: Verdict) -> bool:
+    """Not heard yet, and no reason to think that it won't be. A new leader begins with all so."""
+    return machine.heard_at is None and not machine.lapsed and verdict is Verdict.LATE
+
+
 def _free(machines: list[MachineView]) -> float:
     """Processors that are free now, or will be once a machine is up."""
     return sum(max(0.0, m.cpus) for m in machines)
--- /dev/null
+++ b/tealrill/fleet/giveway.py
@@ -0,0 +1,64 @@
+"""Whether another node hears the workers that this leader does not hear.
+
+A leader whose way to the workers is broken keeps its lease: the state service and the other nodes
+reach it. Its workers wait 4 s for an answer, try the next node, are sent back to the leader, and
+lapse. So every node counts the reports that come to it, and a leader that suddenly hears nobody
+asks the others. If workers come to them, it gives way while the leases still run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Final
+
+from tealrill import wire
+from tealrill.http import Client, NoAnswer
+from tealrill.settings import Settings, parse_address
+from tealrill.state.truce import PING_PATH, Presence
+from tealrill.types import Steady
+
+_PERIODS: Final = 2.0
+_TIMEOUT_S: Final = 0.3
+_FEWEST: Final = 2
+_SHARE: Final = 0.05
+"""Some workers always come to the wrong node, those that have just booted among them."""
+
+
+class GiveWay:
+    """The count of this node's reports, and what the others say of theirs."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._window_s = _PERIODS * settings.params.workers.report_s
+        self._peers = [Client(parse_address(m.peer_addr), most=1) for m in settings.members]
+        self._window = 0
+        self._counts = [0, 0]
+
+    def took(self, now: Steady) -> None:
+        """A worker's report came to this node."""
+        self._turn(now)
+        self._counts[1] += 1
+
+    def recent(self, now: Steady) -> int:
+        """How many reports came within the last one to two windows of two report periods."""
+        self._turn(now)
+        return sum(self._counts)
+
+    def _turn(self, now: Steady) -> None:
+        window = int(now // self._window_s)
+        if window != self._window:
+            self._counts = [self._counts[1] if window == self._window + 1 else 0, 0]
+            self._window = window
+
+    async def better(self, heard: int) -> bool:
+        """Whether any other node hears workers; `heard` machines were heard here until now."""
+        found = await asyncio.gather(*(self._ask(client) for client in self._peers))
+        return max(found, default=0) >= max(_FEWEST, math.ceil(_SHARE * heard))
+
+    @staticmethod
+    async def _ask(client: Client) -> int:
+        try:
+            answer = await client.request("GET", PING_PATH, timeout_s=_TIMEOUT_S)
+            return wire.decode(answer.body, Presence).reports
+        except (NoAnswer, wire.Malformed):
+            return 0
--- a/tealrill/fleet/lines.py
+++ b/tealrill/fleet/lines.py
@@ -46,6 +46,11 @@
         left = self._sockets - _OTHERS - self._machines()
         return max(_FEWEST, min(int(_SHARE * self._sockets), left))
 
+    @property
+    def spare(self) -> int:
+        """Sockets that neither reports nor commands nor others take at this moment."""
+        return self._sockets - _OTHERS - self._machines() - len(self._clients)
+
     async def request(
         self, machine: MachineId, addr: str, path: str, body: bytes, timeout_s: float
     ) -> Answer:
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -113,6 +113,15 @@
     refused_until: Steady = Steady(0.0)
     listed: str = ""
     listed_at: Steady | None = None
+    listed_addr: str = ""
+    unlisted: int = 0
+    """Of the cloud's lists, the last so many did not show it though an earlier one did."""
+    misses: int = 0
+    """Attempts to connect while it was silent, in a row, that brought no connection."""
+    accepts: bool = False
+    """The last such attempt brought a connection: its system runs."""
+    lapsed_cpus: float = 0.0
+    """Processors that its tasks used when its lease lapsed."""
     view: MachineView | None = None
     """What placement sees of it, kept from pass to pass; None once something in it has changed."""
     settled: list[wire.TaskReport] | None = None
@@ -123,6 +132,11 @@
         self.view = None
         self.settled = None
 
+    @property
+    def up(self) -> bool:
+        """Whether it is known to have come up, in this term or before."""
+        return self.session is not None or self.listed == wire.MACHINE_RUNNING
+
     def placeable(self, now: Steady, silence_s: float) -> bool:
         """Whether a task may be bound to it at this moment."""
         return (
@@ -268,6 +282,7 @@
         machine.seq = Seq(report.seq)
         machine.heard_at = now
         machine.lapsed = False
+        machine.misses, machine.accepts, machine.lapsed_cpus = 0, False, 0.0
         if report.notice_s is not None:
             if machine.notice_until is None:
                 log.info("machine %s has notice: %.0f s", machine.id, report.notice_s)
@@ -588,6 +603,23 @@
         own = machine.answered_at if machine.answered_at is not None else self._elected_at
         return max(own, self._elsewhere_until)
 
+    def still_coming(self, now: Steady, share: float, within_s: float) -> bool:
+        """Whether a new leader has yet to hear from most of the machines that are up.
+
+        Until `within_s` after the election, or until so large a `share` of them was heard.
+        """
+        if now - self._elected_at > within_s:
+            return False
+        up = [m for m in self.machines.values() if m.up]
+        return sum(m.heard_at is not None for m in up) < share * len(up)
+
+    def unheard_s(self, machine: Machine, now: Steady) -> float:
+        """For how long nothing was heard of a machine that has reported, or is said to have."""
+        if machine.heard_at is not None:
+            return now - machine.heard_at
+        # Rented in this term and listed as running, it may have come up just now.
+        return now - max(self._elected_at, machine.since)
+
     def check_silence(self, now: Steady) -> None:
         """Proof 3: a worker whose lease has certainly run out has killed all its tasks.
 
@@ -602,6 +634,7 @@
             )
             machine.lapsed = True
             machine.current = False
+            machine.lapsed_cpus = machine.cpus
             for binding in list(machine.bindings.values()):
                 self._release(machine, binding, now, "lease lapsed")
             machine.exited.clear()
--- /dev/null
+++ b/tealrill/fleet/prober.py
@@ -0,0 +1,157 @@
+"""Finds out what is still there of machines that are not heard.
+
+Wanted: of every machine that has missed a report, whether anything at its address takes
+connections. What is: the attempts made so far. The loop works off the difference, a bounded number
+at a time, and then judges the whole fleet (`scheduler/silence.py`). While all are heard it does one
+comparison a machine.
+
+Nothing here proves that a task is gone, and no answer renews a lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from tealrill.fleet.machines import Fleet, Machine
+from tealrill.http import accepts
+from tealrill.scheduler import silence
+from tealrill.scheduler.silence import Hearing, Sign, Verdict
+from tealrill.settings import Address, BadSettings, parse_address
+from tealrill.types import MachineId, Steady, steady_now
+
+log = logging.getLogger(__name__)
+
+LOOK_EVERY_S: Final = 0.5
+_LATE_S: Final = 1.0
+_TIMEOUT_S: Final = 0.8
+_AGAIN_S: Final = 1.0
+_MOST: Final = 160
+_FEWEST: Final = 4
+"""Attempts at once: at the most, and where reports and commands leave no sockets."""
+
+Reach = Callable[[Address, float], Awaitable[bool | None]]
+
+
+class Prober:
+    """One term's look at silent machines."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        report_s: float,
+        spare: Callable[[], int],
+        reach: Reach = accepts,
+        now: Callable[[], Steady] = steady_now,
+        valid: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._fleet = fleet
+        self._report_s = report_s
+        self._spare = spare
+        self._valid = valid
+        self._reach = reach
+        self._now = now
+        self._tried: dict[MachineId, Steady] = {}
+        self._under_way: dict[MachineId, asyncio.Task[None]] = {}
+        self.hearing = Hearing({}, frozenset())
+        self.judged: Callable[[], None] = lambda: None
+        """Called when the verdicts have changed."""
+
+    async def run(self) -> None:
+        due = self._now() + LOOK_EVERY_S
+        try:
+            while True:
+                await asyncio.sleep(LOOK_EVERY_S)
+                now = self._now()
+                late, due = now - due > _LATE_S, now + LOOK_EVERY_S
+                # After a standstill of this node everybody seems silent: their reports are waiting.
+                # While it may not lead, its workers are with somebody else.
+                if not late and self._valid():
+                    for machine in self.look(now):
+                        self._try(machine, now)
+        finally:
+            for task in self._under_way.values():
+                task.cancel()
+
+    def look(self, now: Steady) -> list[Machine]:
+        """Judges what is known by now; the machines to be tried next, the longest untried first."""
+        known = [m for m in self._fleet.machines.values() if m.up and m.zone]
+        missed_s = silence.live_within_s(self._report_s)
+        silent = [m for m in known if self._fleet.unheard_s(m, now) > missed_s and not m.releasing]
+        if not silent:
+            self._judge([], now)
+            self._tried.clear()
+            return []
+        self._judge(known, now)
+        for machine_id in self._tried.keys() - {m.id for m in silent}:
+            del self._tried[machine_id]
+        due = [
+            machine
+            for machine in silent
+            if machine.id not in self._under_way
+            and now - self._tried.get(machine.id, Steady(-_AGAIN_S)) >= _AGAIN_S
+        ]
+        due.sort(key=lambda m: self._tried.get(m.id, Steady(-_AGAIN_S)))
+        return due[: max(0, max(_FEWEST, min(_MOST, self._spare())) - len(self._under_way))]
+
+    def _judge(self, known: list[Machine], now: Steady) -> None:
+        hearing = silence.judge((self._sign(m, now) for m in known), self._report_s)
+        healed = self.hearing.cut_zones - hearing.cut_zones
+        if healed:
+            # What was tried in vain through a cut says nothing of the machine: 40 good ones were
+            # returned in the moment in which the first of their zone were heard again.
+            for machine in known:
+                if machine.zone in healed:
+                    machine.misses = 0
+            hearing = silence.judge((self._sign(m, now) for m in known), self._report_s)
+        if hearing == self.hearing:
+            return
+        self._tell(hearing)
+        self.hearing = hearing
+        self.judged()
+
+    def _sign(self, machine: Machine, now: Steady) -> Sign:
+        return Sign(
+            machine.id,
+            machine.zone,
+            self._fleet.unheard_s(machine, now),
+            machine.misses,
+            machine.accepts,
+            machine.unlisted,
+        )
+
+    def _tell(self, hearing: Hearing) -> None:
+        """One line an event, not one a machine: operators read this when hundreds are gone."""
+        for verdict in (Verdict.GONE, Verdict.HUNG):
+            names = {m for m, v in hearing.verdicts.items() if v is verdict}
+            new = names - {m for m, v in self.hearing.verdicts.items() if v is verdict}
+            if new:
+                log.info("%d machines are judged %s, %d more", len(names), verdict.value, len(new))
+        if hearing.cut_zones != self.hearing.cut_zones:
+            log.info("zones not heard: %s", ", ".join(sorted(hearing.cut_zones)) or "none")
+
+    # -- attempts -------------------------------------------------------------------------------
+
+    def _try(self, machine: Machine, now: Steady) -> None:
+        try:
+            address = parse_address(machine.addr or machine.listed_addr)
+        except BadSettings:
+            return
+        self._tried[machine.id] = now
+        task = asyncio.create_task(self._attempt(machine, address))
+        self._under_way[machine.id] = task
+        task.add_done_callback(lambda _: self._under_way.pop(machine.id, None))
+
+    async def _attempt(self, machine: Machine, address: Address) -> None:
+        heard_at = machine.heard_at
+        found = await self._reach(address, _TIMEOUT_S)
+        if found is not None and machine.heard_at == heard_at:
+            self.tried(machine, found)
+
+    @staticmethod
+    def tried(machine: Machine, accepts: bool) -> None:
+        """What an attempt brought."""
+        machine.accepts = accepts
+        machine.misses = 0 if accepts else machine.misses + 1
--- /dev/null
+++ b/tealrill/fleet/refusals.py
@@ -0,0 +1,58 @@
+"""Kinds of machine that the cloud has just refused, and when to ask again.
+
+A refusal says that there was none of a kind at one moment. More of it comes when somebody gives
+some back: often ourselves. So the time until the next try doubles while nothing is given, begins
+anew when a part is given, and ends when machines of that kind have gone. (Dead machines hold their
+places at the cloud until they are released. Asked for while they did, their kinds were refused for
+40 s, of which most passed after the places had come free.)
+Pure state, without I/O and clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from tealrill.types import Steady
+
+_FIRST_S: Final = 10.0
+_PARTLY_S: Final = 5.0
+_MOST_S: Final = 40.0
+
+Kind = tuple[str, str, bool]
+"""Type, zone, spot."""
+
+
+@dataclass(slots=True)
+class _Refusal:
+    until: Steady
+    back_off_s: float
+
+
+class Refusals:
+    """What is not worth asking for at this moment."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[Kind, _Refusal] = {}
+
+    def refused(self, kind: Kind, now: Steady) -> bool:
+        known = self._kinds.get(kind)
+        return known is not None and now < known.until
+
+    def answered(self, kind: Kind, asked: int, given: int, now: Steady) -> None:
+        """The cloud gave `given` of `asked` machines."""
+        if given >= asked:
+            self._kinds.pop(kind, None)
+            return
+        last = self._kinds.get(kind)
+        if given:
+            back_off_s = _PARTLY_S
+        elif last is None:
+            back_off_s = _FIRST_S
+        else:
+            back_off_s = min(_MOST_S, 2 * last.back_off_s)
+        self._kinds[kind] = _Refusal(Steady(now + back_off_s), back_off_s)
+
+    def freed(self, kind: Kind) -> None:
+        """Machines of this kind have gone: the cloud may have places again."""
+        self._kinds.pop(kind, None)
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -16,21 +16,18 @@
 from tealrill import wire
 from tealrill.fleet.cloud import MOST_RELEASED, MOST_RENTED, Cloud, CloudError, NoCapacity
 from tealrill.fleet.machines import Fleet, Machine
+from tealrill.fleet.refusals import Kind, Refusals
 from tealrill.scheduler.capacity import Offer, Rental
 from tealrill.types import MachineId, Steady, Token, parse_machine_id, steady_now
 
 log = logging.getLogger(__name__)
 
-_FIRST_BACK_OFF_S: Final = 10.0
-_MOST_BACK_OFF_S: Final = 40.0
 _RETRY_S: Final = 1.0
 _LIST_EVERY_S: Final = 5.0
 _CATALOGUE_EVERY_S: Final = 30.0
 _LATE_BOOTS: Final = 4.0
 """A machine that is not up after this many boot times is returned."""
 
-Kind = tuple[str, str, bool]
-
 
 @dataclass(slots=True)
 class Request:
@@ -41,12 +38,6 @@
     since: Steady
 
 
-@dataclass(slots=True)
-class _Refusal:
-    until: Steady
-    back_off_s: float
-
-
 class Renter:
     """Deals with the cloud for one term."""
 
@@ -57,13 +48,15 @@
         self._lag_s = list_lag_s
         self._names = 0
         self.requests: dict[str, Request] = {}
-        self._refusals: dict[Kind, _Refusal] = {}
+        self.refusals = Refusals()
         self._tasks: set[asyncio.Task[None]] = set()
         self.catalogue: wire.Catalogue | None = None
         self.offers: list[Offer] = []
         """Every kind of machine in the catalogue."""
         self._ratios: dict[tuple[str, bool], float] = {}
         self.changed: Callable[[], None] = lambda: None
+        self.granted: Callable[[Rental], None] = lambda _: None
+        """So many machines of a kind were rented."""
 
     # -- what may be rented ---------------------------------------------------------------------
 
@@ -72,8 +65,7 @@
         return [
             offer
             for offer in self.offers
-            if (refusal := self._refusals.get((offer.type, offer.zone, offer.spot))) is None
-            or now >= refusal.until
+            if not self.refusals.refused((offer.type, offer.zone, offer.spot), now)
         ]
 
     def is_dear(self, type_name: str, spot: bool, dear: float) -> bool:
@@ -113,24 +105,30 @@
     # -- renting --------------------------------------------------------------------------------
 
     def rent(self, rental: Rental, now: Steady) -> None:
-        """Asks for machines, one request of a kind at a time.
+        """Asks for machines, in the fewest requests; no more of a kind until all are answered.
 
         While jobs arrive every moment brings another wish; asked for one by one, they would use
-        up the cloud's rate on answers that the first one already brings.
+        up the cloud's rate on answers that the first one already brings. A wish for more than a
+        request may bring goes out at once in several: one after the other, 160 machines took 15 s.
         """
         kind = (rental.type, rental.zone, rental.spot)
-        if any(
-            (r.rental.type, r.rental.zone, r.rental.spot) == kind for r in self.requests.values()
-        ):
+        if self.asked_for(kind):
             return
-        count = min(rental.count, MOST_RENTED)
-        self._names += 1
-        name = f"tr-{self._term}-{self._names}"
-        rental = Rental(rental.type, rental.zone, rental.spot, count)
-        self.requests[name] = Request(name, rental, now)
-        task = asyncio.create_task(self._rent(self.requests[name]))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        for begin in range(0, rental.count, MOST_RENTED):
+            count = min(rental.count - begin, MOST_RENTED)
+            self._names += 1
+            name = f"tr-{self._term}-{self._names}"
+            request = Request(name, Rental(*kind, count), now)
+            self.requests[name] = request
+            task = asyncio.create_task(self._rent(request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def asked_for(self, kind: Kind) -> bool:
+        """Whether a request for this kind has not been answered yet."""
+        return any(
+            (r.rental.type, r.rental.zone, r.rental.spot) == kind for r in self.requests.values()
+        )
 
     def close(self) -> None:
         for task in self._tasks:
@@ -151,10 +149,8 @@
                 await asyncio.sleep(_RETRY_S)
         del self.requests[request.name]
         now = steady_now()
-        if len(names) < rental.count:
-            self._refused(kind, now)
-        else:
-            self._refusals.pop(kind, None)
+        names = self._usable(names, rental.count)
+        self.refusals.answered(kind, rental.count, len(names), now)
         log.info(
             "rental %s: %d of %d %s in %s%s",
             request.name,
@@ -166,8 +162,22 @@
         )
         for name in names:
             self._rented(name, rental, request.since)
+        if names:
+            self.granted(Rental(*kind, len(names)))
         self.changed()
 
+    @staticmethod
+    def _usable(names: list[str], asked: int) -> list[str]:
+        """What a rental brought, each machine once.
+
+        Machines beyond what was asked for are kept too: they are charged, and known they are used
+        or given back. A name that is none can't be released; the list shows it if it is a machine.
+        """
+        found = list(dict.fromkeys(n for n in names if parse_machine_id(n) is not None))
+        if len(found) != len(names) or len(found) > asked:
+            log.warning("a rental of %d brought %d names, %d good", asked, len(names), len(found))
+        return found
+
     def _rented(self, name: str, rental: Rental, since: Steady) -> None:
         machine_id = parse_machine_id(name)
         if machine_id is None or machine_id in self._fleet.gone:
@@ -178,13 +188,6 @@
             self._fleet.machines[machine_id] = machine
         machine.since = since
 
-    def _refused(self, kind: Kind, now: Steady) -> None:
-        last = self._refusals.get(kind)
-        back_off_s = _FIRST_BACK_OFF_S
-        if last is not None:
-            back_off_s = min(_MOST_BACK_OFF_S, 2 * last.back_off_s)
-        self._refusals[kind] = _Refusal(Steady(now + back_off_s), back_off_s)
-
     # -- returning ------------------------------------------------------------------------------
 
     async def run_releases(self) -> None:
@@ -202,8 +205,14 @@
                 continue
             log.info("released %s", ", ".join(names))
             for machine_id in names:
+                self._freed(self._fleet.machines.get(machine_id))
                 self._fleet.released(machine_id, steady_now())
 
+    def _freed(self, machine: Machine | None) -> None:
+        """A machine has gone: the cloud may have places of its kind again."""
+        if machine is not None and machine.type:
+            self.refusals.freed((machine.type, machine.zone, machine.spot))
+
     # -- the list and the catalogue -------------------------------------------------------------
 
     async def run_lists(self) -> None:
@@ -234,6 +243,7 @@
                 self._take_line(machine_id, line, now)
         for machine in list(self._fleet.machines.values()):
             if machine.id not in present:
+                machine.unlisted += machine.listed_at is not None
                 self._not_listed(machine, now)
         self._fleet.forget_gone(now)
 
@@ -257,15 +267,27 @@
         if not machine.type:
             self._fleet.locate(machine, line.type, line.zone, line.spot)
         machine.listed, machine.listed_at = line.state, now
+        machine.listed_addr = line.addr
+        machine.unlisted = 0
         if line.state == wire.MACHINE_FAILED and not machine.releasing:
             # It stopped by itself; the release is the proof that its tasks are gone.
             log.info("machine %s failed", machine_id)
             machine.releasing = True
-        if machine.heard_at is None and not machine.releasing and not machine.bindings:
-            kind = self.type_of(machine.type)
-            if kind is not None and now - machine.since > _LATE_BOOTS * kind.boot_s:
-                log.info("machine %s did not come up", machine_id)
-                machine.releasing = True
+        if line.state == wire.MACHINE_BOOTING and machine.heard_at is None:
+            self._still_starting(machine, now)
+
+    def _still_starting(self, machine: Machine, now: Steady) -> None:
+        """Some machines never come up, and are charged until they are returned.
+
+        Only what the list calls starting is one of them. A new leader has not heard machines that
+        are cut off from it, and once returned 256 good ones in the middle of a cut of their zone.
+        """
+        kind = self.type_of(machine.type)
+        if machine.releasing or machine.bindings or kind is None:
+            return
+        if now - machine.since > _LATE_BOOTS * kind.boot_s:
+            log.info("machine %s did not come up", machine.id)
+            machine.releasing = True
 
     def _not_listed(self, machine: Machine, now: Steady) -> None:
         """Absence proves nothing about tasks: a machine is dropped only when nothing is bound."""
@@ -275,6 +297,7 @@
         silent = machine.lapsed or machine.heard_at is None
         if silent and known_for > 3 * self._lag_s + 10:
             log.info("machine %s is gone", machine.id)
+            self._freed(machine)
             self._fleet.drop(machine)
 
 
--- a/tealrill/http.py
+++ b/tealrill/http.py
@@ -16,6 +16,7 @@
 
 from tealrill.settings import Address
 
+_LATE_S: Final = 0.3
 _PARAMETERS: Final = HTTP1ConnectionParameters(
     max_header_size=16 * 1024, max_body_size=64 * 1024 * 1024
 )
@@ -72,6 +73,33 @@
     """Leaves the stream's setting alone."""
 
 
+async def accepts(address: Address, timeout_s: float) -> bool | None:
+    """Whether something at the address takes connections, or refuses them; None if unknown.
+
+    False is silence for all of the time. A machine that has lost power or is cut off is silent; one
+    whose processes stand still connects all the same.
+    """
+    try:
+        stream = iostream.IOStream(socket.socket())
+    except OSError:
+        # No socket left: that is this node's trouble and says nothing of the other.
+        return None
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    try:
+        async with asyncio.timeout(timeout_s):
+            await stream.connect((address.host, address.port))
+        return True
+    except TimeoutError:
+        # Where this loop itself was late the answer may be waiting unread.
+        return None if loop.time() - began > timeout_s + _LATE_S else False
+    except (OSError, iostream.StreamClosedError) as error:
+        cause = getattr(error, "real_error", None) or error
+        return True if isinstance(cause, ConnectionRefusedError) else None
+    finally:
+        stream.close()
+
+
 class Client:
     """Requests to one address. At most `most` connections are kept idle."""
 
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -15,6 +15,7 @@
 from tealrill.fleet.dispatch import RENT_EVERY_S, Dispatcher
 from tealrill.fleet.lines import Lines
 from tealrill.fleet.machines import Finished, Fleet, Machine, NewerToken
+from tealrill.fleet.prober import Prober
 from tealrill.fleet.rental import Renter
 from tealrill.http import NoAnswer
 from tealrill.scheduler.estimates import Estimates
@@ -141,6 +142,12 @@
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
         self._lines = Lines(params.quota.fd_limit, lambda: len(self.fleet.machines))
         self.fleet.dropped = self._lines.drop
+        lines = self._lines
+        self.prober = Prober(
+            self.fleet, params.workers.report_s, lambda: lines.spare, valid=self._valid
+        )
+        self.prober.judged = self.wake
+        self.dispatcher.hearing = lambda: self.prober.hearing
 
     # -- the term -------------------------------------------------------------------------------
 
@@ -153,6 +160,7 @@
                 group.create_task(self._watch_jobs(revision))
                 group.create_task(self._passes())
                 group.create_task(self._silences())
+                group.create_task(self.prober.run())
                 group.create_task(self.renter.run_releases())
                 group.create_task(self.renter.run_lists())
                 for part in self.parts:
--- a/tealrill/state/keeper.py
+++ b/tealrill/state/keeper.py
@@ -127,13 +127,17 @@
     # -- what goes into the next transaction ----------------------------------------------------
 
     def _gather(self, now: Steady) -> _Batch:
-        """Ends of jobs first (users wait for them), then new bindings, then the rest."""
+        """Ends of jobs first (users wait for them), then new bindings, then the rest.
+
+        New bindings go by urgency class, and in the order in which they came within one: after a
+        fall the bindings of hundreds of lost tasks would otherwise go before an urgent job's.
+        """
         batch = _Batch(guards={LEADER_KEY: self._mine.stamp})
         room = min(self._txn_ops, int(self._client.writes.available()))
         for job in list(self._book.ending.values()):
             if not self._add_end(batch, job, room):
                 break
-        for chunk in list(self._book.urgent):
+        for chunk in sorted(self._book.urgent, key=_rank, reverse=True):
             if not self._add_chunk(batch, chunk, room):
                 break
         spare = min(room, max(0, int(self._client.writes.available(urgent=False))))
@@ -319,5 +323,9 @@
                 await asyncio.sleep(_BACK_OFF_S)
 
 
+def _rank(chunk: Chunk) -> int:
+    return chunk.job.spec.rank
+
+
 def _stamp(entry: wire.KeyValue | None) -> Revision:
     return ABSENT if entry is None else Revision(entry.version)
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -51,6 +51,8 @@
     """The answer to a ping."""
 
     leads: bool
+    reports: int = 0
+    """Workers' reports that came to this node lately (`fleet/giveway.py`)."""
 
 
 class Standing(Protocol):
@@ -81,6 +83,7 @@
         """The revision up to which this node, when it leads, knows of cancellations."""
         self.cancelled: Callable[[str], None] = lambda _: None
         """Tells this node's leader of a cancellation that another node has acknowledged."""
+        self.reports: Callable[[], int] = lambda: 0
         self._peers = {
             m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
         }
@@ -158,7 +161,7 @@
             return True
 
     def presence(self) -> Presence:
-        return Presence(self._election.mine is not None)
+        return Presence(self._election.mine is not None, self.reports())
 
     # -- the others' side -----------------------------------------------------------------------
 
--- a/tealrill/wire.py
+++ b/tealrill/wire.py
@@ -51,6 +51,7 @@
 FORGET: Final = "clear"
 
 MACHINE_FAILED: Final = "failed"
+MACHINE_RUNNING: Final = "running"
 MACHINE_BOOTING: Final = "starting"
 
 JOBS_PATH: Final = "/v2/runs"
--- /dev/null
+++ b/tests/test_falls.py
@@ -0,0 +1,467 @@
+"""Hundreds of machines fall at once: the leader's part against a model of workers and a cloud.
+
+The model keeps its own truth (who runs what, whose lease has ended, what the cloud has rented out)
+and steps a second at a time. Nothing here needs a socket or a clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tealrill import settings as daemon_settings
+from tealrill import wire
+from tealrill.fleet.cloud import Cloud
+from tealrill.fleet.dispatch import Dispatcher
+from tealrill.fleet.machines import Fleet
+from tealrill.fleet.prober import Prober
+from tealrill.fleet.rental import Renter
+from tealrill.scheduler import silence
+from tealrill.scheduler.capacity import Rental
+from tealrill.scheduler.estimates import Estimates
+from tealrill.scheduler.silence import Verdict
+from tealrill.state.book import Book
+from tealrill.types import MachineId, Revision, Steady, Token, Wall
+from tests.samples import SETTINGS, spec
+
+_BOOT_S, _LEASE_S, _RUN_S = 12, 8.0, 15
+_PLACES = 20
+"""Spot machines that the cloud has in each of two zones."""
+_CATALOGUE = {"builds": [{
+    "label": "big", "vcpus": 8, "gpus": 0, "memoryGb": 64, "localGb": 50, "fetchGbPerS": 1.0,
+    "price": 1.0, "marketPrice": 0.4, "startupS": _BOOT_S, "halls": ["north", "south"],
+}]}  # fmt: skip
+
+
+@dataclass
+class _Worker:
+    """A machine as it is, whatever the leader thinks of it."""
+
+    name: MachineId
+    zone: str
+    spot: bool
+    up_at: float
+    dead: bool = False
+    taken: bool = False
+    hung_until: float = 0.0
+    renewed_at: float | None = None
+    session: int = 1
+    seq: int = 0
+    token: int = 0
+    tasks: dict[tuple[str, int], float] = field(default_factory=dict)
+    """Task and attempt, and when it ends."""
+    done: set[tuple[str, int]] = field(default_factory=set)
+
+
+class _Cloud(Renter):
+    """Grants at once as long as it has places; dead machines hold theirs until released."""
+
+    def __init__(self, world: _World) -> None:
+        super().__init__(cast(Cloud, None), world.fleet, Token(world.term), 1.0)
+        self._world = world
+
+    def rent(self, rental: Rental, now: Steady) -> None:
+        kind = (rental.type, rental.zone, rental.spot)
+        names = self._world.rent(rental, now)
+        self.refusals.answered(kind, rental.count, len(names), now)
+        for name in names:
+            self._rented(name, rental, now)
+        if names:
+            self.granted(Rental(*kind, len(names)))
+
+
+class _World:
+    def __init__(self, jobs: int = 5) -> None:
+        self.now = 0.0
+        self.term = 0
+        self.workers: dict[MachineId, _Worker] = {}
+        self.cut: set[str] = set()
+        self.deaf = False
+        self.refuses = False
+        self.made = 0
+        self.submitted = 0
+        self.lists: list[list[wire.ListedMachine]] = [[]]
+        self.book = Book(8.0)
+        self.elect()
+        for _ in range(jobs):
+            self.submit()
+
+    # -- leaders --------------------------------------------------------------------------------
+
+    def elect(self) -> None:
+        """A new leader with the records of the last one, and nothing else."""
+        params = daemon_settings.parse(orjson.dumps(SETTINGS)).params
+        self.term += 1
+        former, self.book = self.book, Book(8.0)
+        now = Steady(self.now)
+        self.fleet = Fleet(self.book, Token(self.term), now, _LEASE_S)
+        bindings = []
+        for job in former.jobs.values():
+            taken = self.book.add(job.spec, Wall(self.now), Revision(1))
+            for chunk in job.chunks.values():
+                if chunk.committed:
+                    value = orjson.loads(orjson.dumps(former.value(chunk)))
+                    bindings += self.book.load(taken, chunk.number, value, Revision(1))
+        self.fleet.inherit(bindings, now)
+        self.renter = _Cloud(self)
+        self.renter.take_catalogue(wire.decode(orjson.dumps(_CATALOGUE), wire.Catalogue))
+        self.dispatcher = Dispatcher(
+            self.book, self.fleet, self.renter, Estimates(), params, lambda _: None
+        )
+        self.prober = Prober(self.fleet, params.workers.report_s, lambda: 1000)
+        prober = self.prober
+        self.dispatcher.hearing = lambda: prober.hearing
+
+    def submit(self) -> None:
+        self.submitted += 1
+        changes: dict[str, Any] = {"id": f"wk-{self.submitted:06d}", "pieces": 20, "vcpus": 4.0}
+        # No deadline: nothing but the queue and what was lost asks for machines.
+        changes.update(guessS=float(_RUN_S), dueS=None, lineup="train", crew="blue")
+        self.book.add(spec(**changes), Wall(self.now), Revision(1))
+
+    # -- the cloud ------------------------------------------------------------------------------
+
+    def rent(self, rental: Rental, now: Steady) -> list[str]:
+        held = [w for w in self.workers.values() if w.zone == rental.zone and not w.taken]
+        places = 0 if self.refuses or not rental.spot else _PLACES - len(held)
+        names = []
+        for _ in range(min(rental.count, max(0, places))):
+            self.made += 1
+            name = MachineId(f"m-{self.made:06d}")
+            self.workers[name] = _Worker(name, rental.zone, rental.spot, now + _BOOT_S)
+            names.append(str(name))
+        return names
+
+    def _list(self) -> None:
+        self.lists.append(
+            [
+                wire.ListedMachine(
+                    id=str(w.name), type="big", zone=w.zone, spot=w.spot,
+                    state="starting" if self.now < w.up_at else "running",
+                )
+                for w in self.workers.values() if not w.taken
+            ]
+        )  # fmt: skip
+        if int(self.now) % 3 == 0:
+            self.renter._take_list(self.lists[max(0, len(self.lists) - 3)], Steady(self.now))
+
+    def _releases(self) -> None:
+        for machine in [m for m in self.fleet.machines.values() if m.releasing]:
+            self.workers.pop(machine.id, None)
+            self.renter._freed(machine)
+            self.fleet.released(machine.id, Steady(self.now))
+
+    # -- workers --------------------------------------------------------------------------------
+
+    def _runs(self, worker: _Worker) -> None:
+        for key in [k for k, end in worker.tasks.items() if end <= self.now]:
+            del worker.tasks[key]
+            worker.done.add(key)
+
+    def _lapses(self, worker: _Worker) -> None:
+        since = worker.renewed_at if worker.renewed_at is not None else worker.up_at
+        if self.now - since > _LEASE_S:
+            worker.tasks.clear()
+            worker.done.clear()
+            worker.session, worker.renewed_at, worker.up_at = worker.session + 1, None, self.now
+
+    def _reports(self, worker: _Worker) -> None:
+        worker.seq += 1
+        lines = [
+            wire.TaskReport(task=task, attempt=attempt, state=state, why=why)  # type: ignore[arg-type]
+            for keys, state, why in (
+                (worker.tasks, "running", None),
+                (worker.done, "ended", "done"),
+            )
+            for task, attempt in keys
+        ]
+        heard = wire.Report(
+            machine=str(worker.name), addr="127.0.0.1:9000", type="big", zone=worker.zone,
+            spot=worker.spot, session=worker.session, seq=worker.seq, token=worker.token,
+            tasks=lines,
+        )  # fmt: skip
+        now = Steady(self.now)
+        commands = self.fleet.report(heard, worker.name, now, Wall(self.now))
+        if commands is None:
+            return
+        worker.renewed_at, worker.token = self.now, self.term
+        for command in commands:
+            key = (str(command["piece"]), int(cast(int, command["try"])))
+            if command["verb"] == "run" and key not in worker.tasks and key not in worker.done:
+                self._starts(worker, key)
+            elif command["verb"] == "halt":
+                worker.tasks.pop(key, None)
+            elif command["verb"] == "clear":
+                worker.done.discard(key)
+
+    def _starts(self, worker: _Worker, key: tuple[str, int]) -> None:
+        for other in self.workers.values():
+            if other is not worker and not other.dead and not other.taken:
+                assert all(task != key[0] for task, _ in other.tasks), f"{key[0]} runs twice"
+        worker.tasks[key] = self.now + _RUN_S
+
+    def heard(self, worker: _Worker) -> bool:
+        return not (
+            worker.dead or worker.taken or self.now < worker.up_at or self.now < worker.hung_until
+            or worker.zone in self.cut or self.deaf
+        )  # fmt: skip
+
+    # -- time -----------------------------------------------------------------------------------
+
+    def step(self) -> None:
+        self.now += 1.0
+        for worker in list(self.workers.values()):
+            if worker.dead or worker.taken or self.now < worker.up_at:
+                continue
+            # A machine that hangs past its lease doesn't take its tasks up again.
+            self._lapses(worker)
+            if self.now >= worker.hung_until:
+                self._runs(worker)
+            if self.heard(worker):
+                self._reports(worker)
+        now = Steady(self.now)
+        self.fleet.check_silence(now)
+        for machine in self.prober.look(now):
+            there = self.workers.get(machine.id)
+            reached = there is not None and not (there.dead or there.taken or self.deaf)
+            self.prober.tried(machine, reached and there is not None and there.zone not in self.cut)
+        self._list()
+        self.dispatcher.run(now, Wall(self.now))
+        self._commits()
+        self._releases()
+
+    def _commits(self) -> None:
+        for chunk in [*self.book.urgent, *self.book.lazy]:
+            chunk.committed, chunk.new_bindings = chunk.version, 0
+        self.book.urgent.clear()
+        self.book.lazy.clear()
+        for job in list(self.book.jobs.values()):
+            if job.complete:
+                self.book.ended(job)
+                self.submit()
+
+    def play(self, seconds: int) -> int:
+        """The most tasks that ran at a moment of the last 20 s: jobs come and go in waves."""
+        used = [0]
+        for _ in range(seconds):
+            self.step()
+            used.append(self.used())
+        return max(used[-20:])
+
+    # -- what is looked at ----------------------------------------------------------------------
+
+    def standing(self) -> list[_Worker]:
+        """Machines that are or will be up, those that hang or are cut off included."""
+        return [w for w in self.workers.values() if not w.dead and not w.taken]
+
+    def used(self) -> int:
+        """Tasks that run on machines that are heard."""
+        return sum(len(w.tasks) for w in self.workers.values() if self.heard(w))
+
+    def up(self) -> list[_Worker]:
+        return sorted((w for w in self.workers.values() if self.heard(w)), key=lambda w: w.name)
+
+
+def _settled() -> _World:
+    world = _World()
+    assert world.play(60) >= 50
+    return world
+
+
+def test_deaths_are_replaced_a_lease_and_a_boot_later() -> None:
+    """Dead machines hold their places at the cloud until they are released."""
+    world = _settled()
+    used, most = world.used(), len(world.standing())
+    for worker in world.up()[::2]:
+        worker.dead = True
+    world.play(int(_LEASE_S) + _BOOT_S + 6)
+    assert len(world.standing()) >= 0.9 * most
+    assert world.play(10) >= 0.9 * used
+
+
+def test_machines_taken_without_notice_are_replaced_before_their_leases_end() -> None:
+    world = _settled()
+    most = len(world.standing())
+    for worker in world.up()[::2]:
+        worker.taken = True
+    world.play(6)
+    # Missed, tried twice, judged; nothing has lapsed yet.
+    assert not any(m.lapsed for m in world.fleet.machines.values())
+    assert len(world.standing()) >= 0.9 * most
+
+
+@pytest.mark.parametrize("hang_s", [_LEASE_S - 1, _LEASE_S + 1, _LEASE_S + 3])
+def test_replacements_for_machines_that_hang_are_not_rented(hang_s: float) -> None:
+    world = _settled()
+    made = world.made
+    for worker in world.up()[::2]:
+        worker.hung_until = world.now + hang_s
+    world.play(int(hang_s) + 10)
+    assert world.made - made <= 2
+    assert not any(m.releasing for m in world.fleet.machines.values())
+
+
+def test_nothing_is_rented_in_a_zone_that_is_cut_off_nor_returned_from_it() -> None:
+    world = _settled()
+    names = {w.name for w in world.workers.values() if w.zone == "south"}
+    assert len(names) >= 5
+    world.cut = {"south"}
+    world.play(40)
+    now_there = {w.name for w in world.workers.values() if w.zone == "south"}
+    # What was asked for before the cut could be seen may still come.
+    assert names <= now_there and len(now_there) <= len(names) + 2
+    world.cut = set()
+    assert world.play(10) >= 50
+
+
+def test_a_leader_elected_in_a_cut_does_not_return_the_machines_behind_it() -> None:
+    """It has heard none of them, and once took them for machines that never came up."""
+    world = _settled()
+    names = {w.name for w in world.workers.values() if w.zone == "south"}
+    world.cut = {"south"}
+    world.play(3)
+    world.elect()
+    world.play(5 * _BOOT_S)
+    assert names <= set(world.workers)
+
+
+def test_a_leader_that_hears_nobody_rents_and_returns_nothing() -> None:
+    world = _settled()
+    made, names = world.made, set(world.workers)
+    world.deaf = True
+    world.play(20)
+    assert world.made - made <= 2 and names <= set(world.workers)
+    assert world.prober.hearing.deaf
+
+
+def test_a_fall_of_all_kinds_at_once_with_a_takeover_in_its_middle() -> None:
+    world = _settled()
+    used = world.used()
+    up = world.up()
+    for number, worker in enumerate(up):
+        if number % 4 == 0:
+            worker.dead = True
+        elif number % 4 == 1:
+            worker.hung_until = world.now + _LEASE_S + 2
+        elif number % 4 == 2:
+            worker.taken = True
+    world.play(4)
+    world.elect()
+    assert world.play(int(2 * _LEASE_S) + 2 * _BOOT_S + 15) >= 0.9 * used
+
+
+def test_places_that_the_cloud_gives_again_are_taken_soon() -> None:
+    world = _settled()
+    used, most = world.used(), len(world.standing())
+    world.refuses = True
+    for worker in world.up()[::2]:
+        worker.taken = True
+    world.play(30)
+    assert len(world.standing()) <= most // 2 + 1
+    world.refuses = False
+    # The longest wait between two tries, and a boot.
+    assert world.play(40 + _BOOT_S + 5) >= 0.9 * used
+
+
+def test_without_a_verdict_deaths_are_not_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The tests above depend on the judgement: without it the fleet stays small."""
+    monkeypatch.setattr(silence, "_verdict", lambda *_: Verdict.LATE)
+    world = _World(jobs=8)
+    world.play(60)
+    most = len(world.standing())
+    for worker in world.up()[::2]:
+        worker.dead = True
+    world.play(int(_LEASE_S) + _BOOT_S + 6)
+    assert len(world.standing()) < 0.9 * most
+
+
+def test_a_new_leader_hears_its_machines_before_it_rents() -> None:
+    """Those it has not heard yet seem full: 116 were once rented in the first second of a term."""
+    world = _settled()
+    made = world.made
+    world.refuses = False
+    for worker in world.up():
+        # They still wait for an answer of the former leader.
+        worker.hung_until = world.now + 2.5
+    world.elect()
+    for _ in range(3):
+        world.submit()
+    world.play(2)
+    assert world.made == made
+    world.play(4)
+    assert world.dispatcher._acquainted
+
+
+_EVENT = st.tuples(
+    st.sampled_from(["dead", "hung", "taken", "cut", "deaf", "refuses", "elect", "wait"]),
+    st.integers(1, 20),
+    st.integers(1, 25),
+)
+
+
+@settings(max_examples=12)
+@given(st.lists(_EVENT, min_size=1, max_size=6))
+def test_generated_falls(events: list[tuple[str, int, int]]) -> None:
+    """No task runs twice; what stands is bounded; and after the last fall all comes back."""
+    world = _settled()
+    used, most = world.used(), len(world.standing())
+    back: list[tuple[float, Callable[[], None]]] = []
+
+    def later(seconds: float, undo: Callable[[], None]) -> None:
+        back.append((world.now + seconds, undo))
+
+    def steps(seconds: int) -> None:
+        for _ in range(seconds):
+            for due in [entry for entry in back if entry[0] <= world.now]:
+                back.remove(due)
+                due[1]()
+            world.step()
+            # Machines that the cloud still has, dead ones left out, against what was wanted: as
+            # many as there were, and one more each for those that are silent and may come back.
+            silent = sum(not world.heard(w) and w.up_at <= world.now for w in world.standing())
+            assert len(world.standing()) <= 1.25 * most + silent + 4
+
+    for kind, count, seconds in events:
+        chosen = world.up()[:count]
+        for worker in chosen:
+            if kind == "dead":
+                worker.dead = True
+            elif kind == "taken":
+                worker.taken = True
+            elif kind == "hung":
+                worker.hung_until = world.now + seconds
+        if kind == "cut":
+            world.cut.add("south")
+            later(seconds, world.cut.clear)
+        elif kind == "deaf":
+            world.deaf = True
+            later(min(seconds, 15), lambda: setattr(world, "deaf", False))
+        elif kind == "refuses":
+            world.refuses = True
+            later(seconds, lambda: setattr(world, "refuses", False))
+        elif kind == "elect":
+            world.elect()
+        steps(seconds // 2)
+    steps(25)
+    assert world.play(2 * _BOOT_S + 60) >= 0.8 * used
+
+
+def test_machines_are_not_returned_in_the_moment_in_which_a_cut_ends() -> None:
+    """Attempts made through the cut failed; the first machines heard again make them look gone."""
+    world = _settled()
+    names = {w.name for w in world.workers.values() if w.zone == "south"}
+    world.cut = {"south"}
+    world.play(int(_LEASE_S) + 6)
+    silent = [w for w in world.workers.values() if w.zone == "south"][2:]
+    world.cut = set()
+    for worker in silent:
+        worker.hung_until = world.now + 1.5
+    world.play(4)
+    assert names <= set(world.workers)
+    assert not any(m.releasing for m in world.fleet.machines.values())
--- /dev/null
+++ b/tests/test_prober.py
@@ -0,0 +1,302 @@
+"""Attempts to connect, a leader that gives way, and rentals in parallel: the parts with I/O."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import socket
+from typing import Any, cast
+
+import orjson
+import pytest
+from tornado import httpserver, netutil, web
+
+from tealrill import settings, wire
+from tealrill.controller import Node
+from tealrill.fleet import prober as prober_module
+from tealrill.fleet.cloud import Cloud, NoCapacity
+from tealrill.fleet.giveway import GiveWay
+from tealrill.fleet.lines import Lines
+from tealrill.fleet.machines import Fleet
+from tealrill.fleet.prober import Prober
+from tealrill.fleet.rental import Renter
+from tealrill.http import accepts
+from tealrill.scheduler.capacity import Rental
+from tealrill.scheduler.silence import Verdict
+from tealrill.settings import Address
+from tealrill.state.book import Book
+from tealrill.state.truce import PING_PATH
+from tealrill.types import MachineId, Steady, Token, Wall
+from tests.samples import SETTINGS, report
+from tests.standins import Worker
+from tests.test_node import World
+
+_REPORT_S = 1.0
+
+
+# -- attempts -------------------------------------------------------------------------------------
+
+
+def test_who_takes_connections_is_told_from_who_is_silent() -> None:
+    async def scenario() -> None:
+        (listening,) = netutil.bind_sockets(0, "127.0.0.1")
+        port = listening.getsockname()[1]
+        # Nobody reads from it, as on a machine whose processes stand still.
+        assert await accepts(Address("127.0.0.1", port), 5.0) is True
+        listening.close()
+        # Refused: the system answers, though nothing listens.
+        assert await accepts(Address("127.0.0.1", port), 5.0) is True
+
+    asyncio.run(scenario())
+
+
+def test_a_silent_address_and_this_nodes_own_trouble(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def never(*_: Any, **__: Any) -> None:
+        await asyncio.Event().wait()
+
+    def none_left(*_: Any, **__: Any) -> None:
+        raise OSError("too many open files")
+
+    async def scenario() -> None:
+        monkeypatch.setattr("tornado.iostream.IOStream.connect", never)
+        assert await accepts(Address("127.0.0.1", 9), 0.01) is False
+        monkeypatch.setattr(socket, "socket", none_left)
+        assert await accepts(Address("127.0.0.1", 9), 0.01) is None
+
+    asyncio.run(scenario())
+
+
+def _fleet(count: int, zone: str = "north") -> Fleet:
+    fleet = Fleet(Book(8.0), Token(1), Steady(0.0), 8.0)
+    fleet.inherit([], Steady(0.0))
+    for n in range(count):
+        name = MachineId(f"m-{n}")
+        fleet.report(report(name, 1, 1, 1), name, Steady(0.0), Wall(0.0))
+        fleet.machines[name].zone = zone
+    return fleet
+
+
+def _hear(fleet: Fleet, names: range, now: float) -> None:
+    for n in names:
+        fleet.machines[MachineId(f"m-{n}")].heard_at = Steady(now)
+
+
+def test_attempts_are_bounded_and_the_longest_untried_go_first() -> None:
+    async def scenario() -> None:
+        hold = asyncio.Event()
+        tried: list[str] = []
+
+        async def reach(address: Address, _: float) -> bool:
+            tried.append(address.host)
+            await hold.wait()
+            return False
+
+        fleet = _fleet(40)
+        for n in range(40):
+            fleet.machines[MachineId(f"m-{n}")].addr = f"10.0.0.{n}:9000"
+        spare = 10
+        prober = Prober(fleet, _REPORT_S, lambda: spare, reach)
+        # Half of the zone is heard, so the other half is not cut off.
+        _hear(fleet, range(20, 40), 4.0)
+        for machine in prober.look(Steady(4.0)):
+            prober._try(machine, Steady(4.0))
+        await asyncio.sleep(0)
+        assert len(tried) == 10
+        assert prober.look(Steady(4.5)) == [], "no more while all places are taken"
+        hold.set()
+        for moment in (6.0, 7.5, 9.0, 10.5):
+            await asyncio.sleep(0.01)
+            _hear(fleet, range(20, 40), moment)
+            for machine in prober.look(Steady(moment)):
+                prober._try(machine, Steady(moment))
+        await asyncio.sleep(0.01)
+        _hear(fleet, range(20, 40), 11.0)
+        prober.look(Steady(11.0))
+        assert set(prober.hearing.verdicts.values()) == {Verdict.GONE}
+        assert len(prober.hearing.verdicts) == 20
+        # At the limit of sockets a few attempts go on, so that a verdict is still reached.
+        spare = -100
+        assert len(prober.look(Steady(20.0))) == prober_module._FEWEST
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_that_comes_after_a_report_says_nothing() -> None:
+    async def scenario() -> None:
+        fleet = _fleet(4)
+        machine = fleet.machines[MachineId("m-0")]
+        machine.addr = "10.0.0.1:9000"
+
+        async def reach(_: Address, __: float) -> bool:
+            machine.heard_at = Steady(5.0)
+            return False
+
+        prober = Prober(fleet, _REPORT_S, lambda: 10, reach)
+        prober._try(machine, Steady(4.0))
+        await asyncio.sleep(0.01)
+        assert machine.misses == 0 and prober._under_way == {}
+
+    asyncio.run(scenario())
+
+
+def test_nothing_is_tried_while_all_are_heard() -> None:
+    fleet = _fleet(4)
+    prober = Prober(fleet, _REPORT_S, lambda: 10)
+    judged: list[None] = []
+    prober.judged = lambda: judged.append(None)
+    assert prober.look(Steady(1.0)) == [] and not judged
+
+
+def test_attempts_take_only_sockets_that_nobody_needs() -> None:
+    machines = 0
+    lines = Lines(1000, lambda: machines)
+    assert lines.spare == 920
+    machines = 950
+    assert lines.spare == -30
+
+
+# -- giving way -----------------------------------------------------------------------------------
+
+
+class _Ping(web.RequestHandler):
+    def get(self) -> None:
+        self.finish(orjson.dumps({"leads": False, "reports": 7}))
+
+
+def test_a_leader_learns_that_workers_report_to_another_node() -> None:
+    async def scenario() -> None:
+        server = httpserver.HTTPServer(web.Application([(PING_PATH, _Ping)]))
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        values = copy.deepcopy(SETTINGS)
+        values["members"][0]["peer_addr"] = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        giveway = GiveWay(settings.parse(orjson.dumps(values)))
+        assert await giveway.better(100)
+        assert not await giveway.better(1000), "a few always come to the wrong node"
+        server.stop()
+        await server.close_all_connections()
+        assert not await giveway.better(3), "a node that doesn't answer is no better"
+
+    asyncio.run(scenario())
+
+
+def test_reports_are_counted_for_a_time() -> None:
+    giveway = GiveWay(settings.parse(orjson.dumps(SETTINGS)))
+    for n in range(5):
+        giveway.took(Steady(10.0 + 0.1 * n))
+    assert giveway.recent(Steady(11.0)) == 5
+    giveway.took(Steady(12.5))
+    assert giveway.recent(Steady(13.0)) == 6
+    assert giveway.recent(Steady(14.5)) == 1
+    assert giveway.recent(Steady(30.0)) == 0
+
+
+@pytest.mark.parametrize("elsewhere", [True, False])
+def test_a_leader_that_hears_nobody_gives_way_only_if_another_node_does(
+    elsewhere: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        world = World()
+        world.start()
+        asked = asyncio.Event()
+        resigned: list[str] = []
+
+        async def better(_: int) -> bool:
+            asked.set()
+            return elsewhere
+
+        async def resign(why: str, _: float) -> None:
+            resigned.append(why)
+
+        try:
+            await world.until_it_leads()
+            node: Node = world.node
+            monkeypatch.setattr(node._giveway, "better", better)
+            monkeypatch.setattr(node.election, "resign", resign)
+            for n in range(3):
+                worker = Worker(f"m-00000{n}")
+                await world.beat(worker)
+                await world.beat(worker)
+            async with asyncio.timeout(30.0):
+                await asked.wait()
+                while elsewhere and not resigned:
+                    await asyncio.sleep(0.01)
+            assert resigned[:1] == (["workers report to others only"] if elsewhere else [])
+        finally:
+            await world.stop()
+
+    asyncio.run(scenario())
+
+
+# -- renting --------------------------------------------------------------------------------------
+
+
+class _Cloud:
+    """Answers what it is told to, in the order of the requests."""
+
+    def __init__(self, answers: list[list[str] | None]) -> None:
+        self.answers = answers
+        self.asked: list[int] = []
+
+    async def rent(self, name: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
+        self.asked.append(count)
+        answer = self.answers.pop(0)
+        if answer is None:
+            raise NoCapacity
+        return answer
+
+
+def _renter(answers: list[list[str] | None]) -> tuple[Renter, _Cloud, Fleet]:
+    fleet = Fleet(Book(8.0), Token(1), Steady(0.0), 8.0)
+    cloud = _Cloud(answers)
+    return Renter(cast(Cloud, cloud), fleet, Token(1), 2.0), cloud, fleet
+
+
+def test_a_large_wish_goes_out_at_once_in_the_fewest_requests() -> None:
+    async def scenario() -> None:
+        names = [[f"m-{part}-{n}" for n in range(50)] for part in range(3)]
+        renter, cloud, fleet = _renter([*names, []])
+        granted: list[int] = []
+        renter.granted = lambda rental: granted.append(rental.count)
+        renter.rent(Rental("big", "north", True, 120), Steady(0.0))
+        renter.rent(Rental("big", "north", True, 120), Steady(0.0))
+        assert sum(r.count for r in renter.under_way()) == 120
+        await asyncio.sleep(0.01)
+        assert cloud.asked == [50, 50, 20]
+        assert not renter.requests and granted == [50, 50, 50] and len(fleet.machines) == 150
+        renter.rent(Rental("big", "north", True, 1), Steady(0.0))
+        await asyncio.sleep(0.01)
+        assert cloud.asked[3:] == [1], "all were answered, so more may be asked for"
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("brought", "kept"),
+    [
+        (["m-1", "m-1", "m-2"], {"m-1", "m-2"}),
+        (["", "m-1", "no name", "x" * 200], {"m-1"}),
+        (["m-1", "m-2", "m-3", "m-4", "m-5"], {"m-1", "m-2", "m-3", "m-4", "m-5"}),
+        ([], set()),
+    ],
+)
+def test_what_a_cloud_should_not_answer(brought: list[str], kept: set[str]) -> None:
+    """Doubled and missing names, machines nobody asked for: nothing is lost, nothing loops."""
+
+    async def scenario() -> None:
+        renter, cloud, fleet = _renter([brought])
+        renter.rent(Rental("big", "north", True, 3), Steady(0.0))
+        await asyncio.sleep(0.01)
+        assert set(fleet.machines) == kept
+        assert cloud.asked == [3] and not renter.requests
+        assert renter.refusals.refused(("big", "north", True), Steady(1.0)) == (len(kept) < 3)
+
+    asyncio.run(scenario())
+
+
+def test_a_machine_of_a_kind_that_the_catalogue_lost_harms_nothing() -> None:
+    renter, _, fleet = _renter([])
+    line = wire.ListedMachine(id="m-1", type="lost", zone="north", spot=True, state="running")
+    renter.take_catalogue(wire.decode(b'{"builds":[]}', wire.Catalogue))
+    renter._take_list([line, line], Steady(100.0))
+    assert set(fleet.machines) == {"m-1"} and not fleet.machines[MachineId("m-1")].releasing
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -276,3 +276,28 @@
     batch = service.keeper._gather(NOW)
     assert len(batch.changes) == len(job.chunks) == 2
     assert not any(binding.committed for binding in job.bindings())
+
+
+def test_an_urgent_jobs_binding_does_not_wait_for_hundreds_of_others() -> None:
+    """After a fall all that was lost is bound again at once, and changes are few."""
+    client = cast(StateClient, Store(random.Random(1), True))
+    book = Book(8.0)
+    mine = Leadership(Token(1), Revision(1), LeaseId(1), NOW, Steady(1e9))
+    keeper = Keeper(client, book, mine, 4, lambda _: None, lambda _: None)
+
+    def bind(number: int, urgency: str) -> None:
+        changes = {**SUBMISSION, "id": f"wk-{number:06d}", "urgency": urgency}
+        job = book.add(
+            wire.decode(orjson.dumps(changes), wire.JobSpec), Wall(0.0), Revision(number)
+        )
+        index = book.take_task(job)
+        assert index is not None
+        book.bind(job, index, MachineId("m-1"), Session(1), "north", False, Wall(0.0), NOW)
+
+    for number in range(1, 11):
+        bind(number, "standard")
+    bind(11, "urgent")
+    batch = keeper._gather(NOW)
+    written = [chunk.job.id for chunk, _, _ in batch.chunks]
+    # Within a class they go in the order in which they came.
+    assert written == ["wk-000011", "wk-000001", "wk-000002", "wk-000003"]
