Releases go before rentals, and what the cloud does not have is not asked for twice

After 220 deaths on the site with 3 cloud calls a second, some 40 requests went out in vain before the dead machines were released: all parts of a large wish at once, and a refusal ended by every loss. Now a part goes out when the one before was granted, a refusal is shortened by losses and ended by releases, and rentals wait for releases under way.

--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -441,7 +441,8 @@
                 cpus = max(machine.cpus, machine.lapsed_cpus)
                 if self._losses.lost(machine.id, machine.type, cpus, now):
                     # Refused while the fleet was whole; the cloud may have its place again.
-                    self._renter.refusals.freed((machine.type, machine.zone, machine.spot))
+                    kind = (machine.type, machine.zone, machine.spot)
+                    self._renter.refusals.hopeful(kind)
             elif machine.heard_at is not None and now - machine.heard_at <= self._silence_s:
                 self._losses.back(machine.id)
 
--- a/tealrill/fleet/refusals.py
+++ b/tealrill/fleet/refusals.py
@@ -53,6 +53,17 @@
             back_off_s = min(_MOST_S, 2 * last.back_off_s)
         self._kinds[kind] = _Refusal(Steady(now + back_off_s), back_off_s)
 
+    def hopeful(self, kind: Kind) -> None:
+        """Machines of this kind seem to be lost: the cloud has places again if they were taken.
+
+        If they are dead it has none until they are released, so this does not end a refusal but
+        shortens it, however many machines are lost.
+        """
+        known = self._kinds.get(kind)
+        if known is not None:
+            known.until = min(known.until, Steady(known.until - known.back_off_s + _PARTLY_S))
+            known.back_off_s = min(known.back_off_s, _PARTLY_S)
+
     def freed(self, kind: Kind) -> None:
         """Machines of this kind have gone: the cloud may have places again."""
         self._kinds.pop(kind, None)
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 _RETRY_S: Final = 1.0
+_RELEASES_FIRST_S: Final = 2.0
 _LIST_EVERY_S: Final = 5.0
 _CATALOGUE_EVERY_S: Final = 30.0
 _LATE_BOOTS: Final = 4.0
@@ -109,20 +110,22 @@
 
         While jobs arrive every moment brings another wish; asked for one by one, they would use
         up the cloud's rate on answers that the first one already brings. A wish for more than a
-        request may bring goes out at once in several: one after the other, 160 machines took 15 s.
+        request may bring goes out in several, each sent when the one before was granted in full:
+        with a pass between them, 160 machines took 15 s.
         """
         kind = (rental.type, rental.zone, rental.spot)
         if self.asked_for(kind):
             return
+        parts: list[Request] = []
         for begin in range(0, rental.count, MOST_RENTED):
             count = min(rental.count - begin, MOST_RENTED)
             self._names += 1
             name = f"tr-{self._term}-{self._names}"
-            request = Request(name, Rental(*kind, count), now)
-            self.requests[name] = request
-            task = asyncio.create_task(self._rent(request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            parts.append(Request(name, Rental(*kind, count), now))
+        self.requests.update((part.name, part) for part in parts)
+        task = asyncio.create_task(self._rent_parts(parts))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def asked_for(self, kind: Kind) -> bool:
         """Whether a request for this kind has not been answered yet."""
@@ -134,9 +137,29 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _rent(self, request: Request) -> None:
+    async def _rent_parts(self, parts: list[Request]) -> None:
+        while parts:
+            part = parts.pop(0)
+            if await self._rent(part) < part.rental.count:
+                # The cloud has no more of this kind: the rest would be asked for in vain.
+                for rest in parts:
+                    del self.requests[rest.name]
+                return
+
+    async def _releases_first(self) -> None:
+        """Machines that go back make the places for those that are asked for.
+
+        With 3 calls a second, 40 requests in vain went before the releases of 220 dead machines.
+        """
+        until = steady_now() + _RELEASES_FIRST_S
+        while steady_now() < until and any(m.releasing for m in self._fleet.machines.values()):
+            await asyncio.sleep(0.1)
+
+    async def _rent(self, request: Request) -> int:
+        """How many were rented."""
         rental = request.rental
         kind = (rental.type, rental.zone, rental.spot)
+        await self._releases_first()
         while True:
             try:
                 names = await self._cloud.rent(request.name, *kind, rental.count)
@@ -165,6 +188,7 @@
         if names:
             self.granted(Rental(*kind, len(names)))
         self.changed()
+        return len(names)
 
     @staticmethod
     def _usable(names: list[str], asked: int) -> list[str]:
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -398,6 +398,18 @@
     assert world.dispatcher._acquainted
 
 
+def test_a_machine_that_runs_and_is_never_heard_goes_back() -> None:
+    """It takes connections, so nothing else tells a new leader that it is of no use."""
+    world = _settled()
+    worker = world.up()[0]
+    worker.hung_until = 1e9
+    world.elect()
+    world.play(3 * _BOOT_S)
+    assert worker.name in world.workers
+    world.play(_BOOT_S + 4)
+    assert worker.name not in world.workers
+
+
 _EVENT = st.tuples(
     st.sampled_from(["dead", "hung", "taken", "cut", "deaf", "refuses", "elect", "wait"]),
     st.integers(1, 20),
--- /dev/null
+++ b/tests/test_falls_tool.py
@@ -0,0 +1,68 @@
+"""The tool that reads what a fall cost, on a report and a log made by hand."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from click.testing import CliRunner
+
+from tools import falls
+
+_LOG = """
+  195.0000 kiln-1 I tealrill.fleet.prober: 1 machines are judged gone, 1 more
+  203.0000 kiln-1 I tealrill.fleet.prober: 2 machines are judged gone, 2 more
+  206.5000 kiln-1 I tealrill.fleet.prober: 90 machines are judged gone, 88 more
+  207.0000 kiln-1 I tealrill.fleet.rental: rental tr-1-4: 0 of 50 szedo-32 in obuda, spot
+  216.0000 kiln-1 I tealrill.fleet.machines: machine m-000006 lapsed in session 1 with 3 tasks
+  217.0000 kiln-1 I tealrill.fleet.rental: rental tr-1-5: 40 of 50 szedo-32 in obuda, spot
+"""
+
+
+def _report() -> falls.Report:
+    def window(at_s: float, cpus: float, cost: float) -> falls.Window:
+        return falls.Window(at_s, 100, 0, 10, cpus, 3, cost)
+
+    windows = [window(float(at), 1000.0, 50.0) for at in range(150, 201, 5)]
+    windows += [window(205.0, 400.0, 30.0), window(230.0, 300.0, 60.0), window(250.0, 950.0, 55.0)]
+    cost = falls.Cost(1.5, 0.8, 10, 50, 7, 3)
+    requests = falls.Requests(10)
+    targets = [falls.Target(0.9, True), falls.Target(0.1, False)]
+    event = [falls.Event(200.0, "machines die")]
+    rules = falls.Rules(0)
+    return falls.Report("deaths", windows, event, cost, targets, requests, requests, rules)
+
+
+def test_a_fall_is_followed_through_a_day() -> None:
+    found = falls.course(_report(), _LOG, 200.0)
+    assert (found.known_s, found.lapsed_s, found.asked_s) == (6.5, 16.0, 17.0)
+    assert (found.lowest, found.back_s) == (0.3, 50.0)
+    assert (found.granted, found.asked, found.cost) == (40, 100, 1.2)
+
+
+def test_the_least_possible_comes_from_the_sites_own_figures() -> None:
+    site = {"machine_types": [{"boot_s": 35.0}, {"boot_s": 20.0}], "workers": {"report_s": 2.0}}
+    assert falls.least_s(site) == 37.5
+
+
+def test_every_day_is_a_file_that_can_be_read(tmp_path: Path) -> None:
+    assert CliRunner().invoke(falls.main, ["days", str(tmp_path)]).exit_code == 0
+    files = sorted(tmp_path.glob("*.toml"))
+    days = [tomllib.loads(file.read_text())["day"][0] for file in files]
+    assert len({day["seed"] for day in days}) == len(days) == 14
+    assert {len(day["faults"]) for day in days} == {1, 2}
+    assert all(fault["at_s"] >= 200.0 for day in days for fault in day["faults"])
+
+
+def test_a_table_and_a_plot_are_made(tmp_path: Path) -> None:
+    report = tmp_path / "deaths.json"
+    report.write_bytes(msgspec.json.encode(_report()))
+    report.with_suffix(".txt").write_text(_LOG)
+    site = tmp_path / "site.toml"
+    site.write_text("[workers]\nreport_s = 2.0\n[[machine_types]]\nboot_s = 35.0\n")
+    shown = CliRunner().invoke(falls.main, ["table", str(site), f"deaths={report}"])
+    assert shown.exit_code == 0 and "1.33" in shown.output
+    out = tmp_path / "out.png"
+    drawn = CliRunner().invoke(falls.main, ["plot", str(out), f"deaths={report}"])
+    assert drawn.exit_code == 0 and out.read_bytes().startswith(b"\x89PNG")
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -211,3 +211,13 @@
     refusals.answered(kind, 10, 0, now)
     refusals.answered(kind, 10, 10, now)
     assert not refusals.refused(kind, now)
+
+
+def test_lost_machines_shorten_a_refusal_and_do_not_end_it() -> None:
+    """Dead ones hold their places: asked for with each that was lost, calls went out in vain."""
+    refusals, kind = Refusals(), ("big", "north", True)
+    refusals.answered(kind, 10, 0, Steady(0.0))
+    refusals.answered(kind, 10, 0, Steady(10.0))
+    for _ in range(100):
+        refusals.hopeful(kind)
+    assert refusals.refused(kind, Steady(14.9)) and not refusals.refused(kind, Steady(15.0))
--- a/tools/falls.py
+++ b/tools/falls.py
@@ -150,7 +150,7 @@
     """What a fall did, in seconds from its moment; None where it did not happen."""
 
     known_s: float | None
-    """The first verdict on silent machines, or the first lapse."""
+    """Five machines were judged or had lapsed, or the leader gave way."""
     lapsed_s: float | None
     """The last lapse: from then on all that was lost waits again."""
     asked_s: float | None
@@ -166,18 +166,23 @@
 
 
 _LINE: Final = re.compile(r"\s*([\d.]+) \S+ \w [\w.]+: (.*)")
+_JUDGED: Final = re.compile(r"\d+ machines are judged \w+, (\d+) more")
+_KNOWN: Final = 5
+"""Single machines are lost at any time; a fall is known with so many."""
+_GIVES_WAY: Final = "no longer leader: "
 _RENTAL: Final = re.compile(r"rental \S+: (\d+) of (\d+) ")
 
 
 def course(report: Report, log: str, at_s: float) -> Course:
     """Follows one fall through a day."""
     known = lapsed = granted_at = None
-    granted = asked = 0
+    granted = asked = noticed = 0
     for match in map(_LINE.match, log.splitlines()):
         if match is None or not at_s <= float(match[1]) <= at_s + _AFTER_S:
             continue
         after, text = float(match[1]) - at_s, match[2]
-        if known is None and (" are judged " in text or " lapsed in session " in text):
+        noticed += _noticed(text)
+        if known is None and noticed >= _KNOWN:
             known = after
         if " lapsed in session " in text and after < 60.0:
             lapsed = after
@@ -206,6 +211,14 @@
     )
 
 
+def _noticed(text: str) -> int:
+    """How many machines a line of the log says are silent."""
+    if _GIVES_WAY in text:
+        return _KNOWN
+    judged = _JUDGED.match(text)
+    return int(judged[1]) if judged is not None else int(" lapsed in session " in text)
+
+
 def _around(windows: list[Window], at_s: float) -> tuple[list[Window], list[Window]]:
     split = bisect_right(windows, at_s, key=lambda w: w.at_s)
     before = [w for w in windows[:split] if w.at_s > at_s - _BEFORE_S]
