Machines without an address take no place from others that are tried

A new leader inherits machines whose address only the first list or report brings; sorted as never tried, they went before all others at every look. Found by reading; a test has six of them before one that can be tried.

--- a/tealrill/fleet/prober.py
+++ b/tealrill/fleet/prober.py
@@ -90,7 +90,9 @@
         due = [
             machine
             for machine in silent
-            if machine.id not in self._under_way
+            # Inherited machines have no address until the first list or report brings it.
+            if (machine.addr or machine.listed_addr)
+            and machine.id not in self._under_way
             and now - self._tried.get(machine.id, Steady(-_AGAIN_S)) >= _AGAIN_S
         ]
         due.sort(key=lambda m: self._tried.get(m.id, Steady(-_AGAIN_S)))
@@ -135,11 +137,11 @@
     # -- attempts -------------------------------------------------------------------------------
 
     def _try(self, machine: Machine, now: Steady) -> None:
+        self._tried[machine.id] = now
         try:
             address = parse_address(machine.addr or machine.listed_addr)
         except BadSettings:
             return
-        self._tried[machine.id] = now
         task = asyncio.create_task(self._attempt(machine, address))
         self._under_way[machine.id] = task
         task.add_done_callback(lambda _: self._under_way.pop(machine.id, None))
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -142,7 +142,8 @@
         self.lists.append(
             [
                 wire.ListedMachine(
-                    id=str(w.name), type="big", zone=w.zone, spot=w.spot,
+                    id=str(w.name), addr="127.0.0.1:9000", type="big", zone=w.zone,
+                    spot=w.spot,
                     state="starting" if self.now < w.up_at else "running",
                 )
                 for w in self.workers.values() if not w.taken
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -139,6 +139,28 @@
     asyncio.run(scenario())
 
 
+def test_machines_without_a_good_address_take_no_place_from_others() -> None:
+    async def scenario() -> None:
+        fleet = _fleet(12)
+        for n in range(6):
+            fleet.machines[MachineId(f"m-{n}")].addr = ""
+        fleet.machines[MachineId("m-6")].addr = "nowhere"
+        tried: list[str] = []
+
+        async def reach(address: Address, _: float) -> bool:
+            tried.append(address.host)
+            return True
+
+        prober = Prober(fleet, _REPORT_S, lambda: 4, reach)
+        for moment in (4.0, 5.5):
+            for machine in prober.look(Steady(moment)):
+                prober._try(machine, Steady(moment))
+            await asyncio.sleep(0.01)
+        assert len(tried) >= 5
+
+    asyncio.run(scenario())
+
+
 def test_nothing_is_tried_while_all_are_heard() -> None:
     fleet = _fleet(4)
     prober = Prober(fleet, _REPORT_S, lambda: 10)
