Falls with a take-over in their middle, while the state service is away, and again and again

The hard cases of the large fleet that had no test: each kind of fall before and within a take-over, with nothing that can be committed, machines that return and hang once more, a cloud that gives one machine at a time.

--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -84,6 +84,8 @@
         self.cut: set[str] = set()
         self.deaf = False
         self.refuses = False
+        self.one_at_a_time = False
+        self.state_away = False
         self.made = 0
         self.submitted = 0
         self.lists: list[list[wire.ListedMachine]] = [[]]
@@ -130,6 +132,8 @@
     def rent(self, rental: Rental, now: Steady) -> list[str]:
         held = [w for w in self.workers.values() if w.zone == rental.zone and not w.taken]
         places = 0 if self.refuses or not rental.spot else _PLACES - len(held)
+        if self.one_at_a_time:
+            places = min(1, places)
         names = []
         for _ in range(min(rental.count, max(0, places))):
             self.made += 1
@@ -238,6 +242,8 @@
         self._releases()
 
     def _commits(self) -> None:
+        if self.state_away:
+            return
         for chunk in [*self.book.urgent, *self.book.lazy]:
             chunk.committed, chunk.new_bindings = chunk.version, 0
         self.book.urgent.clear()
@@ -399,6 +405,92 @@
     assert world.dispatcher._acquainted
 
 
+def _fall(world: _World, kind: str) -> None:
+    """Half of the machines fall, or a zone, or the leader's own way to all."""
+    for worker in world.up()[::2]:
+        if kind == "dead":
+            worker.dead = True
+        elif kind == "taken":
+            worker.taken = True
+        elif kind == "hung":
+            worker.hung_until = world.now + _LEASE_S + 2
+    if kind == "cut":
+        world.cut = {"south"}
+    elif kind == "deaf":
+        world.deaf = True
+
+
+def _heal(world: _World) -> None:
+    world.cut, world.deaf = set(), False
+
+
+_KINDS = ["dead", "taken", "hung", "cut", "deaf"]
+
+
+@pytest.mark.parametrize("kind", _KINDS)
+def test_a_takeover_in_the_middle_of_a_fall(kind: str) -> None:
+    world = _settled()
+    used, names = world.used(), {w.name for w in world.workers.values()}
+    _fall(world, kind)
+    world.play(5)
+    world.elect()
+    world.play(12)
+    if kind not in ("dead", "taken"):
+        assert names <= set(world.workers), "machines that will be back are not returned"
+    _heal(world)
+    assert world.play(2 * int(_LEASE_S) + 2 * _BOOT_S + 20) >= 0.9 * used
+
+
+@pytest.mark.parametrize("kind", _KINDS)
+def test_a_fall_in_the_middle_of_a_takeover(kind: str) -> None:
+    world = _settled()
+    used = world.used()
+    world.elect()
+    world.play(1)
+    _fall(world, kind)
+    world.play(12)
+    _heal(world)
+    assert world.play(2 * int(_LEASE_S) + 2 * _BOOT_S + 20) >= 0.9 * used
+
+
+@pytest.mark.parametrize("kind", _KINDS)
+def test_a_fall_while_the_state_service_is_away(kind: str) -> None:
+    """Nothing can be bound, but capacity is asked for all the same, and no task runs twice."""
+    world = _settled()
+    used = world.used()
+    world.state_away = True
+    _fall(world, kind)
+    world.play(14)
+    if kind == "taken":
+        assert len(world.standing()) >= 0.9 * 2 * _PLACES
+    world.state_away = False
+    _heal(world)
+    assert world.play(2 * int(_LEASE_S) + 2 * _BOOT_S + 20) >= 0.9 * used
+
+
+def test_machines_that_come_back_again_and_again_are_not_replaced() -> None:
+    world = _settled()
+    made = world.made
+    chosen = world.up()[::2]
+    for _ in range(4):
+        for worker in chosen:
+            worker.hung_until = world.now + _LEASE_S + 2
+        world.play(int(_LEASE_S) + 8)
+    assert world.made - made <= 4
+    assert {w.name for w in chosen} <= set(world.workers)
+
+
+def test_a_cloud_that_gives_one_machine_at_a_time_is_asked_on() -> None:
+    world = _settled()
+    most = len(world.standing())
+    world.one_at_a_time = True
+    for worker in world.up()[: most // 4]:
+        worker.taken = True
+    # A part given means the next try 5 s later, in each of two zones.
+    world.play(8 + 5 * (most // 8) + 5)
+    assert len(world.standing()) >= 0.9 * most
+
+
 def test_a_machine_that_runs_and_is_never_heard_goes_back() -> None:
     """It takes connections, so nothing else tells a new leader that it is of no use."""
     world = _settled()
