--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -153,7 +153,7 @@
         if machine.notice_until is not None or machine.strangers:
             return None
         if machine.heard_at is None:
-            if not _boots(machine, self.hearing().verdicts.get(machine.id, Verdict.LATE)):
+            if not _boots(machine, self._verdict(machine)):
                 return None
             ready_at = Steady(max(machine.since + kind.boot_s, now + 1.0))
         elif machine.placeable(now, self._silence_s) and not self._gone(machine):
@@ -177,11 +177,10 @@
         replacements were rented meanwhile, and 110 more while the hung ones came back.)
         """
         found: list[MachineView] = []
-        verdicts = self.hearing().verdicts
         for machine in self._machines():
             if machine.releasing or machine.draining or machine.notice_until is not None:
                 continue
-            verdict = verdicts.get(machine.id, Verdict.LATE)
+            verdict = self._verdict(machine)
             silent_s = self._fleet.unheard_s(machine, now)
             if silent_s <= self._silence_s or _boots(machine, verdict):
                 continue
@@ -414,9 +413,7 @@
             return
         asked: dict[str, float] = {}
         for rental in self._renter.under_way():
-            kind = self._renter.type_of(rental.type)
-            cpus = kind.cpus * rental.count if kind is not None else 0.0
-            asked[rental.type] = asked.get(rental.type, 0.0) + cpus
+            asked[rental.type] = asked.get(rental.type, 0.0) + self._cpus(rental)
         available = [o for o in self._available(now) if not self._is_dear(o.type, o.spot)]
         for type_name, cpus in owed.items():
             offers = [o for o in available if o.type == type_name and o.cpus > 0]
@@ -441,18 +438,24 @@
                 cpus = max(machine.cpus, machine.lapsed_cpus)
                 if self._losses.lost(machine.id, machine.type, cpus, now):
                     # Refused while the fleet was whole; the cloud may have its place again.
-                    kind = (machine.type, machine.zone, machine.spot)
-                    self._renter.refusals.hopeful(kind)
+                    self._renter.refusals.hopeful(machine.kind)
             elif machine.heard_at is not None and now - machine.heard_at <= self._silence_s:
                 self._losses.back(machine.id)
 
+    def _verdict(self, machine: Machine) -> Verdict:
+        """Late, if it has not been judged."""
+        return self.hearing().verdicts.get(machine.id, Verdict.LATE)
+
     def _gone(self, machine: Machine) -> bool:
-        return self.hearing().verdicts.get(machine.id) is Verdict.GONE
+        return self._verdict(machine) is Verdict.GONE
 
     def _granted(self, rental: Rental) -> None:
+        self._losses.rented(rental.type, self._cpus(rental))
+
+    def _cpus(self, rental: Rental) -> float:
+        """Processors of all machines of a rental; 0 for a type that the catalogue lost."""
         kind = self._renter.type_of(rental.type)
-        if kind is not None:
-            self._losses.rented(rental.type, kind.cpus * rental.count)
+        return kind.cpus * rental.count if kind is not None else 0.0
 
     def _is_dear(self, type_name: str, spot: bool) -> bool:
         return self._renter.is_dear(type_name, spot, self.policy.dear)
--- a/tealrill/fleet/giveway.py
+++ b/tealrill/fleet/giveway.py
@@ -12,14 +12,12 @@
 import math
 from typing import Final
 
-from tealrill import wire
-from tealrill.http import Client, NoAnswer
+from tealrill.http import Client
 from tealrill.settings import Settings, parse_address
-from tealrill.state.truce import PING_PATH, Presence
+from tealrill.state.truce import ask_presence
 from tealrill.types import Steady
 
 _PERIODS: Final = 2.0
-_TIMEOUT_S: Final = 0.3
 _FEWEST: Final = 2
 _SHARE: Final = 0.05
 """Some workers always come to the wrong node, those that have just booted among them."""
@@ -57,8 +55,5 @@
 
     @staticmethod
     async def _ask(client: Client) -> int:
-        try:
-            answer = await client.request("GET", PING_PATH, timeout_s=_TIMEOUT_S)
-            return wire.decode(answer.body, Presence).reports
-        except (NoAnswer, wire.Malformed):
-            return 0
+        found = await ask_presence(client)
+        return found.reports if found is not None else 0
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -22,6 +22,7 @@
 from typing import Any, Final
 
 from tealrill import wire
+from tealrill.scheduler.capacity import Kind
 from tealrill.scheduler.model import MachineView
 from tealrill.state.book import Binding, Book, Chunk, Job, Stop
 from tealrill.types import (
@@ -132,6 +133,10 @@
         self.view = None
         self.settled = None
 
+    @property
+    def kind(self) -> Kind:
+        return self.type, self.zone, self.spot
+
     @property
     def up(self) -> bool:
         """Whether it is known to have come up, in this term or before."""
--- a/tealrill/fleet/refusals.py
+++ b/tealrill/fleet/refusals.py
@@ -13,15 +13,13 @@
 from dataclasses import dataclass
 from typing import Final
 
+from tealrill.scheduler.capacity import Kind
 from tealrill.types import Steady
 
 _FIRST_S: Final = 10.0
 _PARTLY_S: Final = 5.0
 _MOST_S: Final = 40.0
 
-Kind = tuple[str, str, bool]
-"""Type, zone, spot."""
-
 
 @dataclass(slots=True)
 class _Refusal:
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -16,8 +16,8 @@
 from tealrill import wire
 from tealrill.fleet.cloud import MOST_RELEASED, MOST_RENTED, Cloud, CloudError, NoCapacity
 from tealrill.fleet.machines import Fleet, Machine
-from tealrill.fleet.refusals import Kind, Refusals
-from tealrill.scheduler.capacity import Offer, Rental
+from tealrill.fleet.refusals import Refusals
+from tealrill.scheduler.capacity import Kind, Offer, Rental
 from tealrill.types import MachineId, Steady, Token, parse_machine_id, steady_now
 
 log = logging.getLogger(__name__)
@@ -63,11 +63,7 @@
 
     def available(self, now: Steady) -> list[Offer]:
         """What was not refused a short while ago."""
-        return [
-            offer
-            for offer in self.offers
-            if not self.refusals.refused((offer.type, offer.zone, offer.spot), now)
-        ]
+        return [offer for offer in self.offers if not self.refusals.refused(offer.kind, now)]
 
     def is_dear(self, type_name: str, spot: bool, dear: float) -> bool:
         """Whether a kind of machine costs much more per processor than the cheapest."""
@@ -113,7 +109,7 @@
         request may bring goes out in several, each sent when the one before was granted in full:
         with a pass between them, 160 machines took 15 s.
         """
-        kind = (rental.type, rental.zone, rental.spot)
+        kind = rental.kind
         if self.asked_for(kind):
             return
         parts: list[Request] = []
@@ -129,9 +125,7 @@
 
     def asked_for(self, kind: Kind) -> bool:
         """Whether a request for this kind has not been answered yet."""
-        return any(
-            (r.rental.type, r.rental.zone, r.rental.spot) == kind for r in self.requests.values()
-        )
+        return any(request.rental.kind == kind for request in self.requests.values())
 
     def close(self) -> None:
         for task in self._tasks:
@@ -158,7 +152,7 @@
     async def _rent(self, request: Request) -> int:
         """How many were rented."""
         rental = request.rental
-        kind = (rental.type, rental.zone, rental.spot)
+        kind = rental.kind
         await self._releases_first()
         while True:
             try:
@@ -235,7 +229,7 @@
     def _freed(self, machine: Machine | None) -> None:
         """A machine has gone: the cloud may have places of its kind again."""
         if machine is not None and machine.type:
-            self.refusals.freed((machine.type, machine.zone, machine.spot))
+            self.refusals.freed(machine.kind)
 
     # -- the list and the catalogue -------------------------------------------------------------
 
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -142,9 +142,8 @@
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
         self._lines = Lines(params.quota.fd_limit, lambda: len(self.fleet.machines))
         self.fleet.dropped = self._lines.drop
-        lines = self._lines
         self.prober = Prober(
-            self.fleet, params.workers.report_s, lambda: lines.spare, valid=self._valid
+            self.fleet, params.workers.report_s, lambda: self._lines.spare, valid=self._valid
         )
         self.prober.judged = self.wake
         self.dispatcher.hearing = lambda: self.prober.hearing
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -18,6 +18,10 @@
 _NEAR: Final = 1.2
 
 
+Kind = tuple[str, str, bool]
+"""Type, zone, spot."""
+
+
 @dataclass(frozen=True, slots=True)
 class Offer:
     """A kind of machine that the cloud may have: a type, in a zone, spot or ordinary."""
@@ -32,6 +36,10 @@
     boot_s: float
     fetch_gb_per_s: float
 
+    @property
+    def kind(self) -> Kind:
+        return self.type, self.zone, self.spot
+
     def allows(self, job: JobView) -> bool:
         return job.may_use(self.type, self.zone, self.spot)
 
@@ -47,9 +55,9 @@
     spot: bool
     count: int
 
-
-Kind = tuple[str, str, bool]
-"""Type, zone, spot."""
+    @property
+    def kind(self) -> Kind:
+        return self.type, self.zone, self.spot
 
 
 @dataclass(slots=True, eq=False)
@@ -128,7 +136,7 @@
 
 def _new_room(offer: Offer, now: Steady) -> _Room:
     up_at = Steady(now + offer.boot_s)
-    return _Room((offer.type, offer.zone, offer.spot), [(up_at, offer.cpus)])
+    return _Room(offer.kind, [(up_at, offer.cpus)])
 
 
 def _price(job: JobView, left: int, offer: Offer) -> float:
--- a/tealrill/scheduler/silence.py
+++ b/tealrill/scheduler/silence.py
@@ -40,7 +40,6 @@
 class Verdict(Enum):
     """What a machine's silence means, as far as can be seen from here."""
 
-    HEARD = "heard"
     LATE = "late"
     """Silent, and not known why."""
     HUNG = "hung"
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -55,6 +55,15 @@
     """Workers' reports that came to this node lately (`fleet/giveway.py`)."""
 
 
+async def ask_presence(peer: Client) -> Presence | None:
+    """What another member says of itself; None if it does not answer at once."""
+    try:
+        answer = await peer.request("GET", PING_PATH, timeout_s=_PROBE_S)
+        return wire.decode(answer.body, Presence)
+    except (NoAnswer, wire.Malformed):
+        return None
+
+
 class Standing(Protocol):
     """The part of an election that promises concern."""
 
@@ -154,11 +163,8 @@
         return not any(said)
 
     async def _leads(self, client: Client) -> bool:
-        try:
-            answer = await client.request("GET", PING_PATH, timeout_s=_PROBE_S)
-            return wire.decode(answer.body, Presence).leads
-        except (NoAnswer, wire.Malformed):
-            return True
+        found = await ask_presence(client)
+        return found is None or found.leads
 
     def presence(self) -> Presence:
         return Presence(self._election.mine is not None, self.reports())
