--- /dev/null
+++ b/tools/falls.py
@@ -0,0 +1,319 @@
+"""What a fall of many machines costs: days that bring one, and what their reports show.
+
+    python3 -m tools.falls days DIR              one file a kind of fall, alone and in pairs
+    python3 -m tools.falls table SITE NAME=REPORT.json ...  one row each, beside the least
+    python3 -m tools.falls plot OUT.png NAME=REPORT.json ... the fleet through each day
+
+A report is what `fleetbench run SITE DAY --report REPORT.json --log info > REPORT.txt` writes; the
+log beside it, of the same name, says when the service knew. All figures are of simulated machines.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from bisect import bisect_right
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+_AT_S: Final = 200.0
+_BEFORE_S: Final = 30.0
+_AFTER_S: Final = 150.0
+_BACK: Final = 0.9
+_PERIODS: Final = 1.25
+"""A worker reports at the latest after so many report periods."""
+
+_FALLS: Final[dict[str, dict[str, Any]]] = {
+    "deaths": {"kind": "machine_die", "count": 220},
+    "deaths-50": {"kind": "machine_die", "count": 50},
+    "hang-under": {"kind": "machine_hang", "count": 250, "for_s": 14.0},
+    "hang-past": {"kind": "machine_hang", "count": 250, "for_s": 19.0},
+    "hang-long": {"kind": "machine_hang", "count": 250, "for_s": 45.0},
+    "spot-silent": {"kind": "spot_taken", "share": 0.9, "notice_s": 0.0, "over_s": 3.0},
+    "spot-notice": {"kind": "spot_taken", "share": 0.6, "notice_s": 20.0, "over_s": 10.0},
+    "deaf": {
+        "kind": "node_cut", "count": 1, "busiest": True, "from_workers": True, "for_s": 25.0,
+        "mode": "hold",
+    },
+    "frozen": {"kind": "node_freeze", "count": 1, "busiest": True, "for_s": 21.0},
+    "restart-all": {"kind": "node_crash", "count": 9, "busiest": True},
+}  # fmt: skip
+_PAIRS: Final = (
+    ("deaths", "restart-all", 3.0),
+    ("deaths", "hang-past", 5.0),
+    ("spot-silent", "frozen", 2.0),
+    ("hang-past", "deaths-50", 2.0),
+)
+
+
+class Window(msgspec.Struct):
+    """The world at one moment."""
+
+    at_s: float
+    machines: int
+    booting: int
+    tasks: int
+    cpus: float
+    waiting_jobs: int
+    cost_per_hour: float
+
+
+class Event(msgspec.Struct):
+    at_s: float
+    what: str
+
+
+class Cost(msgspec.Struct):
+    price: float
+    useful: float
+    rented: int
+    rented_spot: int
+    tasks_lost: int
+    tasks_killed_by_lease: int
+
+
+class Target(msgspec.Struct):
+    value: float
+    met: bool
+
+
+class Requests(msgspec.Struct):
+    requests: int
+    refused: int = 0
+    no_capacity: int = 0
+    writes: int = 0
+
+
+class Rules(msgspec.Struct):
+    total: int
+
+
+class Report(msgspec.Struct):
+    """The parts of a day's report that are used here."""
+
+    scenario: str
+    windows: list[Window]
+    events: list[Event]
+    fleet: Cost
+    targets: list[Target]
+    state: Requests
+    cloud: Requests
+    rules_broken: Rules
+
+
+def read(path: Path) -> Report:
+    return msgspec.json.decode(path.read_bytes(), type=Report)
+
+
+# -- days -----------------------------------------------------------------------------------------
+
+
+def day(name: str, falls: Sequence[dict[str, Any]], seed: int) -> str:
+    """A day's file."""
+
+    def inline(fall: dict[str, Any]) -> str:
+        return ", ".join(f"{key} = {_toml(value)}" for key, value in fall.items())
+
+    lines = "\n".join(f"  {{ {inline(fall)} }}," for fall in falls)
+    return (
+        f'[[day]]\nname = "{name}"\nslot = "scale"\nlight = false\nseed = {seed}\n'
+        f"faults = [\n{lines}\n]\n"
+    )
+
+
+def _toml(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
+
+
+def days() -> Iterator[tuple[str, str]]:
+    """Name and file of every day: each kind alone, then the pairs."""
+    for number, (name, fall) in enumerate(_FALLS.items()):
+        yield name, day(name, [{"at_s": _AT_S, **fall}], 301 + number)
+    for number, (first, second, after_s) in enumerate(_PAIRS):
+        name = f"{first}+{second}"
+        falls = [{"at_s": _AT_S, **_FALLS[first]}, {"at_s": _AT_S + after_s, **_FALLS[second]}]
+        yield name, day(name, falls, 331 + number)
+
+
+# -- one day --------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Course:
+    """What a fall did, in seconds from its moment; None where it did not happen."""
+
+    known_s: float | None
+    """The first verdict on silent machines, or the first lapse."""
+    lapsed_s: float | None
+    """The last lapse: from then on all that was lost waits again."""
+    asked_s: float | None
+    """The first machine that the cloud granted."""
+    lowest: float
+    """Processors in use at the worst moment, as a part of those before."""
+    back_s: float | None
+    """Nine tenths of the processors in use before are in use again."""
+    granted: int
+    asked: int
+    cost: float
+    """The most that the fleet cost an hour, as a part of what it cost before."""
+
+
+_LINE: Final = re.compile(r"\s*([\d.]+) \S+ \w [\w.]+: (.*)")
+_RENTAL: Final = re.compile(r"rental \S+: (\d+) of (\d+) ")
+
+
+def course(report: Report, log: str, at_s: float) -> Course:
+    """Follows one fall through a day."""
+    known = lapsed = granted_at = None
+    granted = asked = 0
+    for match in map(_LINE.match, log.splitlines()):
+        if match is None or not at_s <= float(match[1]) <= at_s + _AFTER_S:
+            continue
+        after, text = float(match[1]) - at_s, match[2]
+        if known is None and (" are judged " in text or " lapsed in session " in text):
+            known = after
+        if " lapsed in session " in text and after < 60.0:
+            lapsed = after
+        rental = _RENTAL.match(text)
+        if rental is not None:
+            granted, asked = granted + int(rental[1]), asked + int(rental[2])
+            if granted_at is None and int(rental[1]):
+                granted_at = after
+    before, after_fall = _around(report.windows, at_s)
+    used = sum(w.cpus for w in before) / len(before)
+    spent = sum(w.cost_per_hour for w in before) / len(before)
+    lowest = min(after_fall, key=lambda w: w.cpus)
+    back = next(
+        (w.at_s for w in after_fall if w.at_s > lowest.at_s and w.cpus >= _BACK * used), None
+    )
+    fell = lowest.cpus < _BACK * used
+    return Course(
+        known,
+        lapsed,
+        granted_at,
+        lowest.cpus / used,
+        back - at_s if back is not None and fell else (0.0 if not fell else None),
+        granted,
+        asked,
+        max(w.cost_per_hour for w in after_fall) / spent,
+    )
+
+
+def _around(windows: list[Window], at_s: float) -> tuple[list[Window], list[Window]]:
+    split = bisect_right(windows, at_s, key=lambda w: w.at_s)
+    before = [w for w in windows[:split] if w.at_s > at_s - _BEFORE_S]
+    after = [w for w in windows[split:] if w.at_s <= at_s + _AFTER_S]
+    if not before or not after:
+        raise click.ClickException(f"the report has nothing around {at_s:.0f} s")
+    return before, after
+
+
+def least_s(site: dict[str, Any]) -> float:
+    """The least time until machines lost without a word are replaced, by the published figures.
+
+    A worker is missed when its next report is due, and a machine boots for what the catalogue says.
+    """
+    boots = [float(kind["boot_s"]) for kind in site["machine_types"]]
+    return _PERIODS * float(site["workers"]["report_s"]) + max(boots)
+
+
+# -- commands -------------------------------------------------------------------------------------
+
+
+@click.group(help=__doc__)
+def main() -> None:
+    pass
+
+
+@main.command("days")
+@click.argument("where", type=click.Path(path_type=Path))
+def write_days(where: Path) -> None:
+    """Writes one file a day."""
+    where.mkdir(parents=True, exist_ok=True)
+    for name, text in days():
+        (where / f"{name}.toml").write_text(text)
+
+
+def _named(pair: str) -> tuple[str, Path]:
+    name, _, path = pair.partition("=")
+    return name, Path(path or name)
+
+
+@main.command()
+@click.argument("site", type=click.Path(path_type=Path, exists=True))
+@click.argument("reports", nargs=-1, required=True)
+def table(site: Path, reports: tuple[str, ...]) -> None:
+    """A row a report."""
+    least = least_s(tomllib.loads(site.read_text()))
+    shown = Table(title=f"least possible until replaced: {least:.0f} s; simulated machines")
+    for column in (
+        "day", "known", "lapsed", "first granted", "lowest", "back at 0.9", "of least", "granted",
+        "asked", "cost", "killed by lease", "lost", "useful", "price", "aims", "rules",
+    ):  # fmt: skip
+        shown.add_column(column, justify="left" if column == "day" else "right")
+    for name, path in map(_named, reports):
+        report = read(path)
+        at_s = report.events[0].at_s if report.events else _AT_S
+        found = course(report, path.with_suffix(".txt").read_text(errors="replace"), at_s)
+        shown.add_row(
+            name,
+            *map(_seconds, (found.known_s, found.lapsed_s, found.asked_s)),
+            f"{found.lowest:.2f}",
+            _seconds(found.back_s),
+            f"{found.back_s / least:.2f}" if found.back_s is not None else "-",
+            str(found.granted),
+            str(found.asked),
+            f"{found.cost:.2f}",
+            str(report.fleet.tasks_killed_by_lease),
+            str(report.fleet.tasks_lost),
+            f"{report.fleet.useful:.3f}",
+            f"{report.fleet.price:.2f}",
+            f"{sum(t.met for t in report.targets)}/{len(report.targets)}",
+            str(report.rules_broken.total),
+        )
+    Console(width=170).print(shown)
+
+
+def _seconds(value: float | None) -> str:
+    return "-" if value is None else f"{value:.0f} s"
+
+
+@main.command()
+@click.argument("out", type=click.Path(path_type=Path))
+@click.argument("reports", nargs=-1, required=True)
+def plot(out: Path, reports: tuple[str, ...]) -> None:
+    """Processors in use, machines booting and cost, one line a report."""
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(3, 1, sharex=True, figsize=(9.0, 9.0))
+    for name, path in map(_named, reports):
+        report = read(path)
+        at_s = report.events[0].at_s if report.events else _AT_S
+        near = [w for w in report.windows if -_BEFORE_S <= w.at_s - at_s <= _AFTER_S]
+        times = [w.at_s - at_s for w in near]
+        for axis, values in zip(
+            axes,
+            ([w.cpus for w in near], [w.booting for w in near], [w.cost_per_hour for w in near]),
+            strict=True,
+        ):
+            axis.plot(times, values, label=name)
+    for axis, title in zip(
+        axes, ("processors in use", "machines booting", "cost an hour"), strict=True
+    ):
+        axis.set_ylabel(title)
+        axis.grid(alpha=0.3)
+    axes[0].legend(fontsize="small")
+    axes[-1].set_xlabel("seconds after the fall (simulated machines)")
+    figure.tight_layout()
+    figure.savefig(out)
+
+
+if __name__ == "__main__":
+    main()
