Whoever waits for a budget stands in line, and polls beyond the rate are refused at once

Each waiter slept by itself and looked again every few milliseconds.

One timer wakes the next in line; leases, the book and acceptances go before polls, and a poll whose turn would come after a second gets 503 with a time to come back.

--- a/tealrill/fleet/cloud.py
+++ b/tealrill/fleet/cloud.py
@@ -8,7 +8,7 @@
 from tealrill import wire
 from tealrill.http import Answer, Client, NoAnswer
 from tealrill.settings import parse_address
-from tealrill.state.budget import Budget
+from tealrill.state.budget import Budget, Rank
 from tealrill.types import MachineId
 
 log = logging.getLogger(__name__)
@@ -45,7 +45,7 @@
         return 0.7 if leads else 0.2 / (self._nodes - 1)
 
     async def catalogue(self) -> wire.Catalogue:
-        await self.budget.take(urgent=False)
+        await self.budget.take(rank=Rank.LATER)
         return self._read(await self._send("GET", "/catalog"), wire.Catalogue)
 
     async def machines(self) -> list[wire.ListedMachine]:
@@ -53,7 +53,7 @@
         found: list[wire.ListedMachine] = []
         after = ""
         while True:
-            await self.budget.take(urgent=False)
+            await self.budget.take(rank=Rank.LATER)
             query: dict[str, str | int] = {"most": _LIST_PAGE}
             if after:
                 query["from"] = after
--- a/tealrill/state/budget.py
+++ b/tealrill/state/budget.py
@@ -1,17 +1,41 @@
-"""Keeps a node within its share of a rate limit."""
+"""Keeps a node within its share of a rate limit.
+
+Whoever has to wait stands in one line and is woken when its turn has come, by one timer. (Each
+waiter once slept by itself and looked again every few milliseconds. With some thousand polls
+waiting in a surge, looking took nearly half of a controller's time, and who went first was chance:
+a renewal of the leader's lease waited among the polls.)
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections import deque
+from dataclasses import dataclass
+from enum import IntEnum
 
 from tealrill.types import Steady, steady_now
 
 
-class Budget:
-    """A token bucket that holds one second's worth, or `depth`.
+class Rank(IntEnum):
+    """Who goes first when there is not enough for all."""
+
+    FIRST = 0
+    """What others wait for: leases, elections, the book, acceptances and cancellations."""
+    USERS = 1
+    """Polls. There may be any number of them, and each may be repeated."""
+    LATER = 2
+    """What can wait: it leaves a part of the bucket alone."""
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    amount: float
+    turn: asyncio.Future[None]
 
-    Work that can wait leaves a part of the bucket alone, so that what users wait for goes first.
-    """
+
+class Budget:
+    """A token bucket that holds one second's worth, or `depth`."""
 
     _KEPT_FOR_URGENT = 0.4
 
@@ -20,6 +44,8 @@
         self._depth = depth
         self._tokens = self.burst
         self._at: Steady = steady_now()
+        self._lines: dict[Rank, deque[_Waiter]] = {rank: deque() for rank in Rank}
+        self._timer: asyncio.TimerHandle | None = None
 
     def set_rate(self, rate: float) -> None:
         self._refill()
@@ -38,24 +64,64 @@
         """Takes tokens that `available` has shown."""
         self._tokens -= amount
 
-    async def take(self, amount: float = 1.0, urgent: bool = True) -> None:
+    def wait_s(self, rank: Rank) -> float:
+        """About how long one who comes now waits behind those who wait before it, in seconds."""
+        ahead = sum(len(line) for of, line in self._lines.items() if of <= rank)
+        return max(0.0, (ahead + 1 - self.available(rank < Rank.LATER)) / self._rate)
+
+    async def take(self, amount: float = 1.0, rank: Rank = Rank.FIRST) -> None:
         """Waits until `amount` is there; an amount above the burst waits for a full bucket."""
-        while True:
-            have = self.available(urgent)
-            need = min(amount, self.burst * (1.0 if urgent else 1 - self._KEPT_FOR_URGENT))
-            if have >= need:
-                self.spend(amount)
-                return
-            await asyncio.sleep(max(0.005, (need - have) / self._rate))
+        if not any(line for of, line in self._lines.items() if of <= rank) and (
+            self.available(rank < Rank.LATER) >= self._need(amount, rank)
+        ):
+            self.spend(amount)
+            return
+        waiter = _Waiter(amount, asyncio.get_running_loop().create_future())
+        self._lines[rank].append(waiter)
+        self._serve()
+        try:
+            await waiter.turn
+        except asyncio.CancelledError:
+            if waiter.turn.cancelled():
+                with contextlib.suppress(ValueError):
+                    self._lines[rank].remove(waiter)
+            else:
+                # Its turn came in the moment in which nobody wanted it any more.
+                self._tokens += amount
+            self._serve()
+            raise
 
     def take_now(self, amount: float = 1.0, urgent: bool = True) -> bool:
         """Takes tokens if they are there at this moment; a full bucket has enough for anything."""
-        need = min(amount, self.burst * (1.0 if urgent else 1 - self._KEPT_FOR_URGENT))
-        if self.available(urgent) < need:
+        if self.available(urgent) < self._need(amount, Rank.FIRST if urgent else Rank.LATER):
             return False
         self.spend(amount)
         return True
 
+    def _need(self, amount: float, rank: Rank) -> float:
+        part = 1.0 if rank < Rank.LATER else 1 - self._KEPT_FOR_URGENT
+        return min(amount, self.burst * part)
+
+    def _serve(self) -> None:
+        """Lets go all whose turn has come, and sets the timer for the next."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for rank, line in self._lines.items():
+            while line:
+                waiter = line[0]
+                short = self._need(waiter.amount, rank) - self.available(rank < Rank.LATER)
+                if short > 0:
+                    # Nobody of a lower rank goes before it.
+                    delay_s = max(0.002, short / self._rate)
+                    loop = asyncio.get_running_loop()
+                    self._timer = loop.call_later(delay_s, self._serve)
+                    return
+                line.popleft()
+                if not waiter.turn.done():
+                    self.spend(waiter.amount)
+                    waiter.turn.set_result(None)
+
     def _refill(self) -> None:
         now = steady_now()
         self._tokens = min(self.burst, self._tokens + (now - self._at) * self._rate)
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -13,10 +13,12 @@
 from tealrill import wire
 from tealrill.http import Answer, Client, NoAnswer
 from tealrill.settings import StateLimits, parse_address
-from tealrill.state.budget import Budget
+from tealrill.state.budget import Budget, Rank
 from tealrill.types import LeaseId, Revision
 
 _PAGE = 500
+_MOST_POLL_WAIT_S = 1.0
+"""A poll whose turn would come later is refused at once: its user asks again, here or elsewhere."""
 _ACCEPT_SHARE = 0.5
 _LEADER_SHARE = 0.6
 _LEADER_WRITES = 0.8
@@ -84,23 +86,31 @@
             return 0.95
         return _LEADER_SHARE if self._leads else 0.35 / (self._nodes - 1)
 
-    async def get(self, key: str, urgent: bool = True) -> wire.KeyValue | None:
-        await self.requests.take(urgent=urgent)
+    async def _take(self, rank: Rank) -> None:
+        """A turn; raises `Busy` at once for a poll whose turn would come too late."""
+        if rank is Rank.USERS and self.requests.wait_s(rank) > _MOST_POLL_WAIT_S:
+            raise Busy("more polls than there are requests for")
+        await self.requests.take(rank=rank)
+
+    async def get(self, key: str, rank: Rank = Rank.FIRST) -> wire.KeyValue | None:
+        await self._take(rank)
         answer = await self._send("GET", "/kv/" + quote(key, safe="/"))
         if answer.status == 404:
             return None
         return self._read(answer, wire.KeyValue)
 
-    async def page(self, prefix: str, after: str | None, most: int) -> wire.Entries:
+    async def page(
+        self, prefix: str, after: str | None, most: int, rank: Rank = Rank.FIRST
+    ) -> wire.Entries:
         """Up to `most` keys under a prefix, those behind `after` only."""
-        await self.requests.take()
+        await self._take(rank)
         query: dict[str, Any] = {"under": prefix, "most": most}
         if after is not None:
             query["from"] = after
         answer = await self._send("GET", "/kv?" + urlencode(query, safe="/"), timeout_s=4.0)
         return self._read(answer, wire.Entries)
 
-    async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
+    async def scan(self, prefix: str, rank: Rank = Rank.FIRST) -> tuple[list[wire.Entry], Revision]:
         """All keys under a prefix, and the revision from which a watch misses nothing.
 
         The pages are read one after the other; the first page's revision is the one returned.
@@ -109,7 +119,7 @@
         revision: Revision | None = None
         after: str | None = None
         while True:
-            page = await self.page(prefix, after, _PAGE)
+            page = await self.page(prefix, after, _PAGE, rank)
             entries.extend(page.items)
             if revision is None:
                 revision = Revision(page.revision)
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -25,6 +25,7 @@
     job_key,
     over_key,
 )
+from tealrill.state.budget import Rank
 from tealrill.state.client import (
     Busy,
     Committed,
@@ -223,9 +224,9 @@
     async def _status(self, job_id: JobId) -> Reply:
         over = self._over.get(job_id)
         if over is None:
-            entry = await self._client.get(job_key(job_id))
+            entry = await self._client.get(job_key(job_id), Rank.USERS)
             owner = entry.value.get("owner") if entry is not None else None
-            if owner is not None and await self._client.get(JOB_PREFIX + owner) is None:
+            if owner is not None and await self._client.get(JOB_PREFIX + owner, Rank.USERS) is None:
                 # The owner's end is the job's, though its record is not moved yet.
                 over = await self._read_over(job_id)
                 if over is None:
@@ -264,8 +265,8 @@
             body["outcome"] = over.value["outcome"]
         return Reply(200, body)
 
-    async def _read_over(self, job_id: JobId) -> wire.KeyValue | None:
-        over = await self._client.get(over_key(job_id))
+    async def _read_over(self, job_id: JobId, rank: Rank = Rank.USERS) -> wire.KeyValue | None:
+        over = await self._client.get(over_key(job_id), rank)
         if over is not None:
             # Without the description, which only a new leader needs: it is most of the record.
             value = {k: v for k, v in over.value.items() if k != "spec"}
@@ -280,7 +281,7 @@
         if counts is not None:
             return counts
         done = running = 0
-        entries, _ = await self._client.scan(f"{RUN_PREFIX}{job_id}/")
+        entries, _ = await self._client.scan(f"{RUN_PREFIX}{job_id}/", Rank.USERS)
         for entry in entries:
             for task in entry.value.get("tasks", []):
                 if task == -1:
@@ -308,7 +309,7 @@
         """None when it has to be looked at again."""
         entry = await self._client.get(job_key(job_id))
         if entry is None:
-            over = await self._read_over(job_id)
+            over = await self._read_over(job_id, Rank.FIRST)
             if over is None:
                 return await self._cancel_nameless(job_id)
             if over.value["status"] == wire.JOB_CANCELLED:
@@ -338,7 +339,7 @@
         if self.names is None or found is None:
             return _NOT_FOUND
         if found.status == wire.JOB_CANCELLED:
-            over = await self._read_over(job_id)
+            over = await self._read_over(job_id, Rank.FIRST)
             status = over.value["status"] if over is not None else found.status
             return Reply(200, wire.accepted(job_id, status))
         revision = await self.names.cancel(job_id)
--- a/tests/test_graphs_records.py
+++ b/tests/test_graphs_records.py
@@ -30,6 +30,7 @@
 from tealrill.scheduler.estimates import Estimates
 from tealrill.state import keeper
 from tealrill.state.book import Binding, Book
+from tealrill.state.budget import Rank
 from tealrill.state.client import Committed, Failed, StateClient
 from tealrill.state.election import LEADER_KEY, Election, Leadership
 from tealrill.state.intake import Intake, Reply
@@ -127,7 +128,7 @@
         self.log: list[tuple[int, wire.WatchEvent]] = []
         self.meanwhile: Callable[[], Awaitable[None]] | None = None
 
-    async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
+    async def scan(self, prefix: str, rank: Rank = Rank.FIRST) -> tuple[list[wire.Entry], Revision]:
         found = await super().scan(prefix)
         if self.meanwhile is not None and prefix.startswith("over/"):
             await self.meanwhile()
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -20,7 +20,7 @@
 
 from tealrill import settings, wire
 from tealrill.state.book import Book, job_key
-from tealrill.state.budget import Budget
+from tealrill.state.budget import Budget, Rank
 from tealrill.state.client import Busy, Committed, Failed, Refused, StateClient, Unknown
 from tealrill.state.election import LEADER_KEY, Leadership
 from tealrill.state.intake import Intake, Reply
@@ -72,11 +72,11 @@
         self.late: list[tuple[list[Any], list[Any]]] = []
         self.writes = self.requests = self.accepts = _Plenty()
 
-    async def get(self, key: str, urgent: bool = True) -> wire.KeyValue | None:
+    async def get(self, key: str, rank: Rank = Rank.FIRST) -> wire.KeyValue | None:
         entry = self.keys.get(key)
         return None if entry is None else wire.KeyValue(value=entry[0], version=entry[1])
 
-    async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
+    async def scan(self, prefix: str, rank: Rank = Rank.FIRST) -> tuple[list[wire.Entry], Revision]:
         return [
             wire.Entry(key=k, value=v, version=r)
             for k, (v, r) in sorted(self.keys.items())
