A pass reckons with what it needs: rooms for the head, wishes and stops on demand

On a full fleet most of a pass went into what decided nothing: the ends of all running tasks for rooms that no job behind the head could use, rooms long full laid again for every waiting job, jobs laid for which nothing may be rented, every task of every machine looked at for stops and losses.

--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from tealrill.scheduler.model import JobView, MachineView, Policy
+from tealrill.scheduler.model import JobView, MachineView, Policy, ends_at
 from tealrill.scheduler.reservation import slots
 from tealrill.types import Steady
 
@@ -64,39 +64,19 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Room:
+class Room:
     """Room that waiting tasks may count on, on a machine or on one about to be rented."""
 
     kind: Kind
     free: list[tuple[Steady, float]]
     """Processors that come free, and when."""
     used_cpu_s: float = 0.0
-    _until: float = math.nan
-    _cpus: float = 0.0
-    _cpu_s: float = 0.0
-    """Processors that come free by `_until`, and their processor seconds from then to it."""
-
-    def may_take(self, need: float, run_s: float, until: Steady) -> bool:
-        """False if surely no task of `need` processors can be laid here any more.
-
-        A processor that comes free serves at most one task more than fits into its time until
-        `until`. Most rooms are full when the later jobs of a long queue are laid, and this takes a
-        fraction of going through all tasks that end there.
-        """
-        if until != self._until:
-            ends = [(at, cpus) for at, cpus in self.free if at <= until]
-            self._cpus = sum(cpus for _, cpus in ends)
-            self._cpu_s = sum(cpus * (until - at) for at, cpus in ends)
-            self._until = until
-        return self._cpus + (self._cpu_s - self.used_cpu_s) / run_s + _ROUNDED >= need
 
     def lay(self, need: float, run_s: float, most: int, until: Steady) -> int:
         """Lays up to `most` tasks here that can start by `until`; how many fitted.
 
         One processor may serve several tasks one after the other.
         """
-        if not self.may_take(need, run_s, until):
-            return 0
         supply = 0.0
         for at, cpus in self.free:
             if at <= until:
@@ -105,6 +85,72 @@
         self.used_cpu_s += laid * need * run_s
         return laid
 
+    def shortest_s(self, least: float, until: Steady) -> float:
+        """Tasks of at least `least` processors that run for less surely find no place by `until`.
+
+        A processor that comes free serves at most one task more than fits into its time until
+        then: `run` seconds of each are had beside that time, less what is used.
+        """
+        cpus = cpu_s = 0.0
+        for at, free in self.free:
+            if at <= until:
+                cpus += free
+                cpu_s += free * (until - at)
+        beside, missing = cpus + _ROUNDED - least, self.used_cpu_s - cpu_s
+        if missing > 0:
+            return missing / beside if beside > 0 else math.inf
+        # Where not even one more task fits beside, only the time until then is left, for any run.
+        return 0.0 if beside >= 0 or -missing / -beside >= _SHORTEST_S else math.inf
+
+
+class Rooms:
+    """All rooms, in the order in which tasks are laid on them.
+
+    Most are full when the later jobs of a long queue are laid. Gone through for every job, they
+    were the dearest part of the leader's work in an overload, so of each it is kept how long a task
+    must run to find a place there, and a room that can't serve a job costs one comparison.
+    """
+
+    def __init__(self, rooms: list[Room], least: dict[Kind, float | None]) -> None:
+        self._rooms = rooms
+        self._least = least
+        """The least part of each kind of machine that any of the jobs takes, in processors; None
+        where none of them may run."""
+        self._shortest: dict[Steady, list[float]] = {}
+
+    def add(self, room: Room) -> None:
+        self._rooms.append(room)
+        for until, shortest in self._shortest.items():
+            shortest.append(self._of(room, until))
+
+    def _of(self, room: Room, until: Steady) -> float:
+        least = self._least[room.kind]
+        if least is None:
+            return math.inf
+        return room.shortest_s(least, until) if least > 0 else 0.0
+
+    def lay(self, job: JobView, most: int, needs: _Needs, until: Steady) -> int:
+        """Lays up to `most` tasks of the job; how many fitted."""
+        if until not in self._shortest:
+            self._shortest[until] = [self._of(room, until) for room in self._rooms]
+        run_s = max(_SHORTEST_S, job.estimate_s)
+        left = most
+        for number, shortest_s in enumerate(self._shortest[until]):
+            if shortest_s > run_s:
+                continue
+            if left <= 0:
+                break
+            room = self._rooms[number]
+            need = needs.on(room.kind)
+            if need is None:
+                continue
+            laid = room.lay(need, run_s, left, until) if need > 0 else left
+            if laid:
+                left -= laid
+                for other, shortest in self._shortest.items():
+                    shortest[number] = self._of(room, other)
+        return most - left
+
 
 class _Needs:
     """A task's part of each kind of machine, in processors; None where it may not run.
@@ -115,14 +161,25 @@
     def __init__(self, job: JobView, sizes: dict[str, Offer]) -> None:
         self._job = job
         self._sizes = sizes
+        self._parts: dict[str, float] = {}
         self._known: dict[Kind, float | None] = {}
 
     def on(self, kind: Kind) -> float | None:
         if kind not in self._known:
-            job, size = self._job, self._sizes[kind[0]]
-            self._known[kind] = _part(job, size) if job.may_use(*kind) else None
+            self._known[kind] = self._part(kind[0]) if self._job.may_use(*kind) else None
         return self._known[kind]
 
+    def _part(self, type_name: str) -> float:
+        part = self._parts.get(type_name)
+        if part is None:
+            part = self._parts[type_name] = _part(self._job, self._sizes[type_name])
+        return part
+
+
+def _least(needs: Iterable[_Needs], kind: Kind) -> float | None:
+    parts = [part for job in needs if (part := job.on(kind)) is not None]
+    return min(parts, default=None)
+
 
 def _part(job: JobView, size: Offer) -> float:
     """The task's part of a machine, in processors; 0 if it takes none of it."""
@@ -137,29 +194,17 @@
     return part * max(size.cpus, 1e-6)
 
 
-def _lay(job: JobView, most: int, rooms: Iterable[_Room], needs: _Needs, until: Steady) -> int:
-    """Lays up to `most` tasks of the job on the rooms; how many fitted."""
-    run_s = max(_SHORTEST_S, job.estimate_s)
-    left = most
-    for room in rooms:
-        if left <= 0:
-            break
-        need = needs.on(room.kind)
-        if need is not None:
-            left -= room.lay(need, run_s, left, until) if need > 0 else left
-    return most - left
-
-
-def _room(machine: MachineView, now: Steady) -> _Room:
+def _room(machine: MachineView, now: Steady) -> Room:
     """A machine's free room now (or once it is up) and as its tasks end."""
     free = [(max(now, machine.ready_at), max(0.0, machine.cpus))]
-    free += [(now if t.stopping else t.end_at(now), t.cpus) for t in machine.running]
-    return _Room((machine.type, machine.zone, machine.spot), free)
+    ends = ends_at(machine.running, now)
+    free += [(end, task.cpus) for end, task in zip(ends, machine.running, strict=True)]
+    return Room((machine.type, machine.zone, machine.spot), free)
 
 
-def _new_room(offer: Offer, now: Steady) -> _Room:
+def _new_room(offer: Offer, now: Steady) -> Room:
     up_at = Steady(now + offer.boot_s)
-    return _Room(offer.kind, [(up_at, offer.cpus)])
+    return Room(offer.kind, [(up_at, offer.cpus)])
 
 
 def _price(job: JobView, left: int, offer: Offer) -> float:
@@ -186,6 +231,63 @@
     return min(near, key=lambda o: (o.cpus, machines.get((o.type, o.zone), 0), o.type, o.zone))
 
 
+@dataclass(frozen=True, slots=True)
+class _Wish:
+    """A job with tasks that found no room."""
+
+    job: JobView
+    waiting: int
+    wait_s: float
+    """Room that comes within so long serves it as well as a new machine."""
+    offers: list[Offer]
+    """What may be rented for it; its tasks take their part of the room in any case."""
+
+
+def _wishes(
+    unplaced: list[tuple[JobView, int]],
+    catalogue: list[Offer],
+    available: list[Offer],
+    policy: Policy,
+    affordable: Container[JobView],
+) -> list[_Wish]:
+    """The jobs to be laid, up to the last one for which anything may be rented.
+
+    Those behind it would take room from nobody. (With only dear machines to be had, hundreds of
+    jobs that need none were laid twice a second, for nothing.)
+    """
+    at_hand = frozenset(available)
+    offered = [(offer, offer in at_hand) for offer in catalogue]
+    wishes: list[_Wish] = []
+    last = 0
+    for job, waiting in unplaced:
+        prices: dict[tuple[str, float], float | None] = {}
+        """Kinds in several zones cost the same, and then their price is worked out once."""
+        fitting: list[tuple[Offer, bool, float]] = []
+        for offer, ready in offered:
+            if not offer.allows(job):
+                continue
+            alike = offer.type, offer.price
+            if alike not in prices:
+                prices[alike] = _price(job, waiting, offer) if offer.slots(job) > 0 else None
+            price = prices[alike]
+            if price is not None:
+                fitting.append((offer, ready, price))
+        if not fitting:
+            continue
+        most = policy.dear * min(price for _, _, price in fitting)
+        cheap = [offer for offer, ready, price in fitting if ready and price <= most]
+        wait_s = min(offer.boot_s for offer, _, _ in fitting)
+        offers = cheap or [offer for offer, ready, _ in fitting if ready]
+        if not cheap and job in affordable:
+            # Only dear machines are to be had: room that comes by the latest start will do.
+            wait_s = max(wait_s, job.latest_s[0])
+            offers = []
+        wishes.append(_Wish(job, waiting, wait_s, offers))
+        if offers:
+            last = len(wishes)
+    return wishes[:last]
+
+
 def rentals(
     unplaced: list[tuple[JobView, int]],
     machines: list[MachineView],
@@ -203,39 +305,37 @@
     if not available or not unplaced:
         # The fleet is as large as the cloud lets it be: what fits where makes no difference.
         return []
-    at_hand = frozenset(available)
+    wishes = _wishes(unplaced, catalogue, available, policy, affordable)
+    if not wishes:
+        return []
     sizes = {offer.type: offer for offer in catalogue}
-    rooms = [_room(m, now) for m in machines if m.type in sizes]
+    found = [_room(m, now) for m in machines if m.type in sizes]
+    kinds = {room.kind for room in found} | {offer.kind for offer in catalogue}
+    all_needs = [_Needs(wish.job, sizes) for wish in wishes]
+    rooms = Rooms(found, {kind: _least(all_needs, kind) for kind in kinds})
     counts: dict[tuple[str, str], int] = {}
     for machine in machines:
         where = (machine.type, machine.zone)
         counts[where] = counts.get(where, 0) + 1
     wanted: dict[Offer, int] = {}
-    for job, waiting in unplaced:
-        fitting = [o for o in catalogue if o.allows(job) and o.slots(job) > 0]
-        if not fitting:
-            continue
-        lowest = min(_price(job, waiting, o) for o in fitting)
-        ready = [o for o in fitting if o in at_hand]
-        cheap = [o for o in ready if _price(job, waiting, o) <= policy.dear * lowest]
-        wait_s = min(o.boot_s for o in fitting)
-        if not cheap and job in affordable:
-            # Only dear machines are to be had: room that comes by the latest start will do.
-            wait_s = max(wait_s, job.latest_s[0])
-        needs = _Needs(job, sizes)
-        left = waiting - _lay(job, waiting, rooms, needs, Steady(now + wait_s))
-        if not cheap and job in affordable:
-            continue
+    for wish, needs in zip(wishes, all_needs, strict=True):
+        job = wish.job
+        left = wish.waiting - rooms.lay(job, wish.waiting, needs, Steady(now + wish.wait_s))
+        run_s = max(_SHORTEST_S, job.estimate_s)
         while left > 0:
-            offer = _choose(job, left, cheap or ready, counts)
+            offer = _choose(job, left, wish.offers, counts)
             if offer is None:
                 break
             room = _new_room(offer, now)
-            laid = _lay(job, left, (room,), needs, Steady(now + max(wait_s, offer.boot_s)))
+            need = needs.on(offer.kind)
+            if need is None:
+                break
+            until = Steady(now + max(wish.wait_s, offer.boot_s))
+            laid = room.lay(need, run_s, left, until) if need > 0 else left
             if laid <= 0:
                 break
             left -= laid
-            rooms.append(room)
+            rooms.add(room)
             wanted[offer] = wanted.get(offer, 0) + 1
             where = (offer.type, offer.zone)
             counts[where] = counts.get(where, 0) + 1
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from tealrill.types import JobId, MachineId, Steady, TaskId
@@ -47,15 +47,25 @@
     def ran_s(self, now: Steady) -> float:
         return now - self.since if self.since is not None else 0.0
 
-    def end_at(self, now: Steady) -> Steady:
-        """Asked for every task of a full fleet in a pass, so it makes no further calls."""
-        run_s = self.guess_s * self.pace.ratio
-        if self.since is None:
-            return Steady(now + run_s)
-        overdue_s = _OVERDUE_PART * (now - self.since)
-        soonest = now + (overdue_s if overdue_s < _OVERDUE_S else _OVERDUE_S)
-        end = self.since + run_s
-        return Steady(end if end > soonest else soonest)
+
+def ends_at(tasks: Iterable[RunningTask], now: Steady) -> list[Steady]:
+    """When tasks are expected to end; those that are being stopped at once.
+
+    Asked for every task of a full fleet in a pass, so one call answers for a machine's.
+    """
+    found: list[Steady] = []
+    for task in tasks:
+        since = task.since
+        if task.stopping:
+            found.append(now)
+        elif since is None:
+            found.append(Steady(now + task.guess_s * task.pace.ratio))
+        else:
+            overdue_s = _OVERDUE_PART * (now - since)
+            soonest = now + (overdue_s if overdue_s < _OVERDUE_S else _OVERDUE_S)
+            end = since + task.guess_s * task.pace.ratio
+            found.append(Steady(end if end > soonest else soonest))
+    return found
 
 
 @dataclass(slots=True, eq=False)
--- a/tealrill/scheduler/reservation.py
+++ b/tealrill/scheduler/reservation.py
@@ -9,7 +9,7 @@
 import math
 from dataclasses import dataclass
 
-from tealrill.scheduler.model import SLACK, JobView, MachineView
+from tealrill.scheduler.model import SLACK, JobView, MachineView, ends_at
 from tealrill.types import Steady
 
 
@@ -53,14 +53,10 @@
         return None
     if machine.fits(job):
         return at, cpus, gpus, memory
-    ends = [(now if t.stopping else t.end_at(now), n, t) for n, t in enumerate(machine.running)]
-    if not ends or min(ends)[0] > by:
-        # It does not fit now, so not before the first of them ends.
-        return None
+    ends = [(end, n) for n, end in enumerate(ends_at(machine.running, now)) if end <= by]
     ends.sort()
-    for end, _, task in ends:
-        if end > by:
-            return None
+    for end, number in ends:
+        task = machine.running[number]
         cpus, gpus, memory = cpus + task.cpus, gpus + task.gpus, memory + task.memory_gb
         if (
             cpus + SLACK >= job.cpus
--- /dev/null
+++ b/tests/plain.py
@@ -0,0 +1,241 @@
+"""The planner as plainly as it can be written: the model that the quick one is compared with.
+
+Everything is worked out in full and at once, whether anything depends on it or not. What a pass
+decides is defined here; `tealrill/scheduler/` reaches the same with less work.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Container
+
+from tealrill.scheduler.capacity import Kind, Offer, Rental, _choose, _part, _price
+from tealrill.scheduler.model import (
+    SLACK,
+    JobView,
+    MachineView,
+    Plan,
+    Policy,
+    Reservation,
+    RunningTask,
+    StopTask,
+    TeamView,
+    View,
+)
+from tealrill.scheduler.plan import _Pass
+from tealrill.scheduler.preemption import Victims, _victims_on, stoppable
+from tealrill.scheduler.reservation import Window, slots
+from tealrill.types import Steady
+
+
+def end_at(task: RunningTask, now: Steady) -> Steady:
+    run_s = task.guess_s * task.pace.ratio
+    if task.stopping:
+        return now
+    if task.since is None:
+        return Steady(now + run_s)
+    return Steady(max(task.since + run_s, now + min(5.0, 0.25 * (now - task.since))))
+
+
+# -- placing --------------------------------------------------------------------------------------
+
+
+class PlainPass(_Pass):
+    """A pass that reserves at once and looks at everything."""
+
+    def _with_room(self) -> list[MachineView]:
+        return self.up
+
+    def _room_for_expected(self) -> float:
+        expected = self.view.expected
+        if expected is None:
+            return 0.0
+        return sum(
+            max(0.0, m.cpus)
+            + sum(t.cpus for t in m.running if t.backfilled and t.rank < expected.rank)
+            for m in self.up
+        )
+
+    def _make_head(self, job: JobView, left: int) -> None:
+        super()._make_head(job, left)
+        machines = self._usable(job, self.view.machines)
+        self._windows = reserve(job, machines, self.now, min(left, self.policy.reserved_tasks))
+        found = {
+            m.id: Reservation(m.id, window.at, window.tasks) for m, window in self._windows.items()
+        }
+        self.plan.reserve = lambda: found
+
+    def _stop_for(self, head: JobView) -> None:
+        team = self.view.teams.get(head.team)
+        guaranteed = team is not None and team.guaranteed(head)
+        soon = self.now + self.policy.stop_cost_s
+        coming = sum(w.tasks for w in self.windows.values() if w.at <= soon)
+        wanted = min(self._allowed(head), self.policy.reserved_tasks) - coming
+        backfilled = sum(t.backfilled for m in self.up for t in m.running)
+        budget = max(1, math.ceil(backfilled * self.policy.stop_share))
+        taken: set[RunningTask] = set()
+        machines = self._usable(head, self.up)
+        while wanted > 0:
+            victims = choose(head, machines, self.view.teams, taken, guaranteed, self.now)
+            if victims is None or len(taken) + len(victims.tasks) > max(budget, len(victims.tasks)):
+                return
+            taken.update(victims.tasks)
+            for task in victims.tasks:
+                grace_s = task.save_s if task.saves else 0.0
+                self.plan.stops.append(StopTask(task.task, head.id, grace_s))
+                victims.machine.give(task)
+            victims.machine.take(head)
+            wanted -= 1
+
+
+def plan(view: View, now: Steady, policy: Policy) -> Plan:
+    return PlainPass(view, now, policy).run()
+
+
+def reserve(
+    job: JobView, machines: list[MachineView], now: Steady, most: int
+) -> dict[MachineView, Window]:
+    options = []
+    for number, machine in enumerate(machines):
+        if not machine.allows(job) or job.zone_room(machine.zone) <= 0:
+            continue
+        room = _first_room(job, machine, now)
+        if room is not None:
+            options.append((room[0], number, machine, room[1:]))
+    heapq.heapify(options)
+    windows: dict[MachineView, Window] = {}
+    left = min(most, job.waiting)
+    while left > 0 and options:
+        at, _, machine, (cpus, gpus, memory) = heapq.heappop(options)
+        tasks = min(left, slots(job, cpus, gpus, memory))
+        left -= tasks
+        windows[machine] = Window(
+            at,
+            tasks,
+            cpus - tasks * job.cpus,
+            gpus - tasks * job.gpus,
+            memory - tasks * job.memory_gb,
+        )
+    return windows
+
+
+def _first_room(
+    job: JobView, machine: MachineView, now: Steady
+) -> tuple[Steady, float, float, float] | None:
+    cpus, gpus, memory = machine.cpus, machine.gpus, machine.memory_gb
+    at = max(now, machine.ready_at)
+    if machine.fits(job):
+        return at, cpus, gpus, memory
+    for end, _, task in sorted((end_at(t, now), n, t) for n, t in enumerate(machine.running)):
+        cpus, gpus, memory = cpus + task.cpus, gpus + task.gpus, memory + task.memory_gb
+        if (
+            cpus + SLACK >= job.cpus
+            and memory + SLACK >= job.memory_gb
+            and gpus + SLACK >= job.gpus
+        ):
+            return max(at, end), cpus, gpus, memory
+    return None
+
+
+def choose(
+    job: JobView,
+    machines: list[MachineView],
+    teams: dict[str, TeamView],
+    taken: set[RunningTask],
+    guaranteed: bool,
+    now: Steady,
+) -> Victims | None:
+    best: Victims | None = None
+    for machine in machines:
+        if not machine.allows(job) or job.zone_room(machine.zone) <= 0:
+            continue
+        candidates = [
+            t for t in machine.running if t not in taken and stoppable(t, job, teams, guaranteed)
+        ]
+        candidates.sort(key=lambda task: task.ran_s(now))
+        victims = _victims_on(machine, job, candidates, now)
+        if victims is not None and (best is None or victims.lost < best.lost):
+            best = victims
+    return best
+
+
+# -- renting --------------------------------------------------------------------------------------
+
+
+class _Room:
+    def __init__(self, kind: Kind, free: list[tuple[Steady, float]]) -> None:
+        self.kind = kind
+        self.free = free
+        self.used_cpu_s = 0.0
+
+    def lay(self, need: float, run_s: float, most: int, until: Steady) -> int:
+        supply = 0.0
+        for at, cpus in self.free:
+            if at <= until:
+                supply += cpus * (1 + (until - at) // run_s)
+        laid = min(most, max(0, int((supply - self.used_cpu_s / run_s + 1e-6) // need)))
+        self.used_cpu_s += laid * need * run_s
+        return laid
+
+
+def _lay(
+    job: JobView, most: int, rooms: list[_Room], sizes: dict[str, Offer], until: Steady
+) -> int:
+    left = most
+    for room in rooms:
+        if left > 0 and job.may_use(*room.kind):
+            need = _part(job, sizes[room.kind[0]])
+            left -= room.lay(need, max(1.0, job.estimate_s), left, until) if need > 0 else left
+    return most - left
+
+
+def rentals(
+    unplaced: list[tuple[JobView, int]],
+    machines: list[MachineView],
+    catalogue: list[Offer],
+    available: list[Offer],
+    now: Steady,
+    policy: Policy,
+    affordable: Container[JobView] = (),
+) -> list[Rental]:
+    if not available:
+        return []
+    sizes = {offer.type: offer for offer in catalogue}
+    rooms = []
+    counts: dict[tuple[str, str], int] = {}
+    for machine in machines:
+        if machine.type in sizes:
+            free = [(max(now, machine.ready_at), max(0.0, machine.cpus))]
+            free += [(end_at(t, now), t.cpus) for t in machine.running]
+            rooms.append(_Room((machine.type, machine.zone, machine.spot), free))
+        where = (machine.type, machine.zone)
+        counts[where] = counts.get(where, 0) + 1
+    wanted: dict[Offer, int] = {}
+    for job, waiting in unplaced:
+        fitting = [o for o in catalogue if o.allows(job) and o.slots(job) > 0]
+        if not fitting:
+            continue
+        lowest = min(_price(job, waiting, o) for o in fitting)
+        ready = [o for o in fitting if o in available]
+        cheap = [o for o in ready if _price(job, waiting, o) <= policy.dear * lowest]
+        wait_s = min(o.boot_s for o in fitting)
+        if not cheap and job in affordable:
+            wait_s = max(wait_s, job.latest_s[0])
+        left = waiting - _lay(job, waiting, rooms, sizes, Steady(now + wait_s))
+        if not cheap and job in affordable:
+            continue
+        while left > 0:
+            offer = _choose(job, left, cheap or ready, counts)
+            if offer is None:
+                break
+            room = _Room(offer.kind, [(Steady(now + offer.boot_s), offer.cpus)])
+            laid = _lay(job, left, [room], sizes, Steady(now + max(wait_s, offer.boot_s)))
+            if laid <= 0:
+                break
+            left -= laid
+            rooms.append(room)
+            wanted[offer] = wanted.get(offer, 0) + 1
+            where = (offer.type, offer.zone)
+            counts[where] = counts.get(where, 0) + 1
+    return [Rental(o.type, o.zone, o.spot, count) for o, count in wanted.items()]
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,283 @@
+"""What the planner may cost, counted in work, and that it decides what the plain one decides."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tealrill.scheduler import capacity, preemption, reservation
+from tealrill.scheduler import plan as planner
+from tealrill.scheduler.capacity import Offer, Room, rentals
+from tealrill.scheduler.model import (
+    Expected,
+    JobView,
+    MachineView,
+    Pace,
+    Plan,
+    Policy,
+    RunningTask,
+    TeamView,
+    View,
+)
+from tealrill.scheduler.plan import plan
+from tealrill.types import Steady
+from tests import plain
+from tests.samples import job_view, machine_view, running_task
+
+NOW = Steady(1000.0)
+
+
+def _world(seed: int, machines: int, jobs: int) -> View:
+    """A fleet under load: kinds, zones, teams, classes, backfill, boots, and a queue.
+
+    Drawn from a seed: generated one value after the other, views of a hundred machines would be
+    the generator's work and not the planner's.
+    """
+    dice = random.Random(seed)
+    paces = {team: Pace(dice.uniform(0.7, 1.6)) for team in ("blue", "red")}
+    fleet = []
+    for number in range(machines):
+        size = dice.choice([8.0, 16.0, 64.0])
+        left, running = size, list[RunningTask]()
+        while left > 0.5 and dice.random() < 0.93:
+            cpus = min(left, dice.choice([0.7, 2.0, 3.3, 8.0]))
+            team = dice.choice(["blue", "red"])
+            backfilled = dice.random() < 0.3
+            started = dice.random() < 0.9
+            running.append(
+                running_task(
+                    f"run-{number}{len(running):02d}",
+                    now=NOW,
+                    ran_s=dice.uniform(0, 90),
+                    end_at=NOW + dice.uniform(-20, 60),
+                    cpus=cpus,
+                    team=team,
+                    rank=dice.randrange(3),
+                    backfilled=backfilled,
+                    stopping=dice.random() < 0.05,
+                    pace=paces[team],
+                    **({} if started else {"since": None, "guess_s": 20.0}),
+                )
+            )
+            left -= cpus
+        fleet.append(
+            machine_view(
+                f"m-{number:04d}",
+                type={8.0: "small", 16.0: "big", 64.0: "huge"}[size],
+                zone=dice.choice(["north", "south"]),
+                spot=dice.random() < 0.7,
+                cpus=left,
+                size=size,
+                memory_gb=size * 4 - sum(t.memory_gb for t in running),
+                ready_at=NOW if running or dice.random() < 0.8 else Steady(NOW + 20.0),
+                dear=dice.random() < 0.2,
+                images={f"img-{dice.randrange(5)}" for _ in range(3)},
+                running=running,
+            )
+        )
+    queue = [_job(dice, number) for number in range(jobs)]
+    teams = {
+        "red": TeamView(30.0, 0.0, 20.0, 0.0, dice.choice([0.0, 60.0]), 0.0),
+        "blue": TeamView(50.0, 0.0, dice.choice([0.0, 90.0]), 0.0, 0.0, 0.0),
+    }
+    expected = dice.choice([None, Expected(2, dice.uniform(1, 60))])
+    return View(fleet, queue, teams, expected, {0: 20.0, 1: 30.0, 2: 10.0})
+
+
+def _job(dice: random.Random, number: int) -> JobView:
+    waiting = dice.randrange(1, 30)
+    estimate_s = dice.uniform(0.5, 120)
+    return job_view(
+        f"job-{number}",
+        team=dice.choice(["blue", "red"]),
+        rank=dice.randrange(3),
+        cpus=dice.choice([0.7, 1.9, 2.0, 4.0, 8.0, 32.0]),
+        memory_gb=dice.choice([0.5, 4.0, 30.0]),
+        waiting=waiting,
+        tasks=waiting + dice.randrange(5),
+        waited_s=dice.uniform(0, 1500),
+        latest_s=dice.choice([(), (dice.uniform(-20, 200), dice.uniform(0, 300))]),
+        estimate_s=estimate_s,
+        image=f"img-{dice.randrange(5)}",
+        image_gb=dice.uniform(0, 4),
+        zone=dice.choice([None, None, None, "north"]),
+        one_zone=dice.random() < 0.1,
+        spread=dice.random() < 0.1,
+        spot=dice.random() < 0.8,
+        gang=dice.random() < 0.1,
+    )
+
+
+def _offers() -> list[Offer]:
+    sizes = {"small": 8.0, "big": 16.0, "huge": 64.0}
+    return [
+        Offer(name, zone, spot, cpus, 0.0, 4 * cpus, cpus * (0.4 if spot else 1.0), boot_s, 1.0)
+        for (name, cpus), boot_s in zip(sizes.items(), (30.0, 30.0, 20.0), strict=True)
+        for zone in ("north", "south")
+        for spot in (True, False)
+    ]
+
+
+def _decided(result: Plan) -> tuple[Any, ...]:
+    return (
+        result.starts,
+        result.stops,
+        result.head,
+        result.reservations,
+        [(job.id, left) for job, left in result.unplaced],
+        {job.id for job in result.affordable},
+    )
+
+
+_seeds = st.integers(0, 2**32)
+
+
+@settings(max_examples=150)
+@given(_seeds, st.integers(0, 40), st.integers(0, 25))
+def test_the_planner_decides_what_the_plain_one_decides(
+    seed: int, machines: int, jobs: int
+) -> None:
+    _compare(seed, machines, jobs)
+
+
+def _compare(seed: int, machines: int, jobs: int) -> None:
+    view, same = _world(seed, machines, jobs), _world(seed, machines, jobs)
+    quick, slow = plan(view, NOW, Policy()), plain.plan(same, NOW, Policy())
+    assert _decided(quick) == _decided(slow)
+    # What the pass leaves of the rooms is what renting sees.
+    assert [(m.id, m.cpus, m.memory_gb) for m in view.machines] == [
+        (m.id, m.cpus, m.memory_gb) for m in same.machines
+    ]
+    offers = _offers()
+    dice = random.Random(seed)
+    available = [offer for offer in offers if dice.random() < 0.6]
+    wished = rentals(
+        quick.unplaced, view.machines, offers, available, NOW, Policy(), quick.affordable
+    )
+    plainly = plain.rentals(
+        slow.unplaced, same.machines, offers, available, NOW, Policy(), slow.affordable
+    )
+    assert wished == plainly
+
+
+@settings(max_examples=60)
+@given(_seeds, st.integers(1, 20))
+def test_rooms_for_a_head_are_those_found_by_looking_at_all(seed: int, most: int) -> None:
+    view = _world(seed, 40, 3)
+    for job in view.jobs:
+        quick = reservation.reserve(job, view.machines, NOW, most)
+        slow = plain.reserve(job, view.machines, NOW, most)
+        assert list(quick.items()) == list(slow.items())
+
+
+@pytest.mark.parametrize(
+    ("where", "name", "broken"),
+    [
+        (capacity, "_ROUNDED", -5.0),
+        (planner, "reserve", lambda job, machines, now, most: {}),
+    ],
+)
+def test_a_planner_that_skips_too_much_is_found(
+    monkeypatch: pytest.MonkeyPatch, where: Any, name: str, broken: Any
+) -> None:
+    monkeypatch.setattr(where, name, broken)
+    with pytest.raises(AssertionError):
+        for seed in range(60):
+            _compare(seed, 30, 20)
+
+
+# -- work, counted --------------------------------------------------------------------------------
+
+
+def _counted(
+    monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, weigh: Callable[..., int]
+) -> list[int]:
+    counts: list[int] = []
+    plainly = getattr(owner, name)
+
+    def counted(*args: Any, **more: Any) -> Any:
+        counts.append(weigh(*args, **more))
+        return plainly(*args, **more)
+
+    monkeypatch.setattr(owner, name, counted)
+    return counts
+
+
+def _full_fleet(machines: int, tasks: int, **changes: Any) -> list[MachineView]:
+    return [
+        machine_view(
+            f"m-{number:04d}",
+            cpus=0.0,
+            size=32.0,
+            running=[
+                running_task(
+                    f"run-{number}{place:02d}",
+                    now=NOW,
+                    ran_s=1.0 + (7 * number + place) % 50,
+                    end_at=NOW + (13 * number + 5 * place) % 97,
+                    cpus=32.0 / tasks,
+                    **changes,
+                )
+                for place in range(tasks)
+            ],
+        )
+        for number in range(machines)
+    ]
+
+
+def test_ends_are_not_worked_out_while_nothing_depends_on_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """5,000 waiting jobs of which none fits, 1,200 machines and 30,000 running tasks."""
+    machines = _full_fleet(1200, 25)
+    jobs = [job_view(f"job-{n}", cpus=2.0 + n % 3) for n in range(5000)]
+    ends = _counted(monkeypatch, reservation, "ends_at", lambda tasks, now: len(tasks))
+    fits = _counted(monkeypatch, MachineView, "fits", lambda machine, job: 1)
+    result = plan(View(machines, jobs, {}), NOW, Policy())
+    assert len(result.unplaced) == 5000 and result.head is not None
+    assert not ends and not fits
+    # Asked for, they are the same as those of the plain planner.
+    assert result.reservations and sum(ends) == 30_000
+
+
+def test_of_a_full_fleet_few_machines_are_sorted_for_the_head(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A machine whose tasks all end later than the rooms found so far is passed over."""
+    machines = _full_fleet(1200, 25)
+    reached = _counted(
+        monkeypatch, reservation, "first_room", lambda job, machine, now, by: by < NOW + 10.0
+    )
+    job = job_view("job-1", cpus=2.0, waiting=16, tasks=16)
+    assert len(reservation.reserve(job, machines, NOW, 16)) <= 16
+    assert sum(reached) > 1100
+
+
+def test_full_rooms_are_not_gone_through_for_every_job(monkeypatch: pytest.MonkeyPatch) -> None:
+    """500 jobs wait for 600 machines that are full: wishes were the dearest part of a pass."""
+    laid = _counted(monkeypatch, Room, "lay", lambda *_: 1)
+    machines = _full_fleet(600, 4)
+    offer = Offer("big", "north", False, 32.0, 0.0, 128.0, 1.0, 35.0, 1.0)
+    jobs = [
+        (job_view(f"job-{n}", cpus=8.0, waiting=35, tasks=35, estimate_s=40.0 + n % 30), 35)
+        for n in range(500)
+    ]
+    wished = rentals(jobs, machines, [offer], [offer], NOW, Policy())
+    assert sum(r.count for r in wished) > 1000
+    # Not one for every pair of a job and a room that was there or was wished for before it.
+    assert len(laid) < 0.08 * 500 * (600 + 0.5 * sum(r.count for r in wished))
+
+
+def test_stops_look_at_backfilled_tasks_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    looked = _counted(monkeypatch, preemption, "stoppable", lambda *_: 1)
+    machines = _full_fleet(600, 16, rank=0)
+    filled = _full_fleet(3, 16, rank=0, backfilled=True)
+    head = job_view("job-1", rank=2, cpus=4.0, waiting=4, tasks=4)
+    result = plan(View([*machines, *filled], [head], {}), NOW, Policy())
+    assert result.stops
+    assert len(looked) <= 16 * 3 * 5
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -17,6 +17,7 @@
     Policy,
     TeamView,
     View,
+    ends_at,
     remaining_s,
 )
 from tealrill.scheduler.plan import plan
@@ -255,7 +256,10 @@
 def test_backfill_that_nothing_may_stop_does_not_delay_the_head(
     jobs: list[JobView], machines: list[MachineView]
 ) -> None:
-    ends = {m.id: [(t.end_at(NOW), t.cpus) for t in m.running] for m in machines}
+    ends = {
+        m.id: list(zip(ends_at(m.running, NOW), (t.cpus for t in m.running), strict=True))
+        for m in machines
+    }
     free = {m.id: m.cpus for m in machines}
     ready = {m.id: m.ready_at for m in machines}
     by_id = {job.id: job for job in jobs}
@@ -370,4 +374,4 @@
 ) -> None:
     task = running_task("run-1", ran_s=ran_s, guess_s=guess_s, pace=Pace(ratio))
     left_s = remaining_s(guess_s * ratio, ran_s)
-    assert task.end_at(NOW) == pytest.approx(NOW + left_s)
+    assert ends_at([task], NOW) == [pytest.approx(NOW + left_s)]
