Reports without a turn of the loop between them, heads taken apart once

Of a large fleet's leader half of all turns, each with its look at all sockets, were tornado's pause after every request, for a next one that a worker sends 2.5 s later. The pause is made where the next request is here already, and after eight of a connection. A worker's head is the same every time and is taken apart once. Rooms keep what they have to give by a moment, so that a task laid costs sums.

--- a/tealrill/api/front.py
+++ b/tealrill/api/front.py
@@ -11,16 +11,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import http
+import logging
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, ClassVar, Final
 
 from tornado import httpserver, httputil, iostream
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
+from tornado.httpserver import _HTTPRequestContext
 
 from tealrill import wire
 from tealrill.http import send_at_once
 from tealrill.types import MachineId, Steady, parse_machine_id, steady_now
 
+log = logging.getLogger(__name__)
+
 ReportAnswer = tuple[int, dict[str, Any]]
 TakeReport = Callable[[wire.Report, MachineId], ReportAnswer]
 
@@ -29,6 +35,11 @@
 never closes its own."""
 _MAX_RECEIVED: Final = 1024 * 1024
 """Larger bodies than the protocol allows are read up to here, so that they get a JSON answer."""
+_TURN_EVERY: Final = 8
+"""Requests of one connection after which others have a turn in any case."""
+_MOST_HEAD: Final = 256
+_MOST_HEADS: Final = 1024
+"""Bytes of a request's head that is kept taken apart, and how many of them."""
 _PIECE: Final = 16 * 1024
 """Most that a connection's own buffer takes from the network at once."""
 
@@ -116,13 +127,70 @@
 
     def handle_stream(self, stream: iostream.IOStream, address: Any) -> None:
         send_at_once(stream)
-        super().handle_stream(stream, address)
+        context = _HTTPRequestContext(stream, address, self.protocol, self.trusted_downstream)
+        connection = _Connection(stream, self.conn_params, context)
+        self._connections.add(connection)
+        connection.start_serving(self)
 
     def on_close(self, server_conn: object) -> None:
         super().on_close(server_conn)
         self._front.on_close(server_conn)
 
 
+class _Connection(HTTP1ServerConnection):
+    """tornado's connection, which goes on without a turn of the loop where nothing waits for it.
+
+    tornado yields after every request, so that a peer that sends many in one go does not keep
+    others from theirs. A worker sends the next one 2.5 s later: then the turn, with its look at all
+    sockets, is for nothing, and turns were half of all those of a large fleet's leader.
+    """
+
+    async def _server_request_loop(self, delegate: httputil.HTTPServerConnectionDelegate) -> None:
+        served = 0
+        try:
+            while True:
+                message = _Message(self.stream, False, self.params, self.context)
+                try:
+                    if not await message.read_response(delegate.start_request(self, message)):
+                        return
+                except (
+                    iostream.StreamClosedError,
+                    iostream.UnsatisfiableReadError,
+                    asyncio.CancelledError,
+                ):
+                    return
+                except Exception:
+                    log.exception("a request failed")
+                    message.close()
+                    return
+                served += 1
+                if self.stream._read_buffer_size or served % _TURN_EVERY == 0:
+                    # The next one is here already, or may be at the socket: others first.
+                    await asyncio.sleep(0)
+        finally:
+            delegate.on_close(self)
+
+
+_Head = tuple[str, httputil.HTTPHeaders]
+
+
+class _Message(HTTP1Connection):
+    """tornado's message, which takes a head apart once: workers send the same again and again."""
+
+    _heads: ClassVar[dict[bytes, _Head]] = {}
+
+    def _parse_headers(self, data: bytes) -> _Head:
+        head = self._heads.get(data)
+        if head is None:
+            head = super()._parse_headers(data)
+            # What comes from workers says little; others' heads are long, and hardly ever again.
+            if len(data) <= _MOST_HEAD and "," not in head[1].get("Content-Length", ""):
+                if len(self._heads) >= _MOST_HEADS:
+                    self._heads.clear()
+                self._heads[data] = head
+        return head
+
+
 class _Request(httputil.HTTPMessageDelegate):
     """One request: its body is collected here, then answered or handed on in one piece."""
 
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -85,22 +85,59 @@
         self.used_cpu_s += laid * need * run_s
         return laid
 
-    def shortest_s(self, least: float, until: Steady) -> float:
-        """Tasks of at least `least` processors that run for less surely find no place by `until`.
-
-        A processor that comes free serves at most one task more than fits into its time until
-        then: `run` seconds of each are had beside that time, less what is used.
-        """
+    def by(self, until: Steady) -> tuple[float, float]:
+        """Processors that come free by `until`, and their processor seconds from then to it."""
         cpus = cpu_s = 0.0
         for at, free in self.free:
             if at <= until:
                 cpus += free
                 cpu_s += free * (until - at)
-        beside, missing = cpus + _ROUNDED - least, self.used_cpu_s - cpu_s
-        if missing > 0:
-            return missing / beside if beside > 0 else math.inf
-        # Where not even one more task fits beside, only the time until then is left, for any run.
-        return 0.0 if beside >= 0 or -missing / -beside >= _SHORTEST_S else math.inf
+        return cpus, cpu_s
+
+
+class _Horizon:
+    """What all rooms have to give by one moment."""
+
+    def __init__(self, until: Steady) -> None:
+        self.until = until
+        self._cpus: list[float] = []
+        self._cpu_s: list[float] = []
+        self.shortest_s: list[float] = []
+        """Per room: tasks that run for less surely find no place there by `until`."""
+
+    def add(self, room: Room, least: float | None) -> None:
+        cpus, cpu_s = room.by(self.until)
+        self._cpus.append(cpus)
+        self._cpu_s.append(cpu_s)
+        self.shortest_s.append(0.0)
+        self.used(len(self._cpus) - 1, room, least)
+
+    def may_take(self, number: int, room: Room, need: float, run_s: float) -> bool:
+        """False if surely no task of `need` processors that runs for `run_s` finds a place.
+
+        A processor that comes free serves at most one task more than fits into its time until
+        then: `run_s` seconds of each are had beside that time, less what is used.
+        """
+        beside = (self._cpu_s[number] - room.used_cpu_s) / run_s
+        return self._cpus[number] + beside + _ROUNDED >= need
+
+    def used(self, number: int, room: Room, least: float | None) -> None:
+        """Tasks were laid in a room, of which no job takes less than `least` processors."""
+        if least is None:
+            self.shortest_s[number] = math.inf
+            return
+        beside = self._cpus[number] + _ROUNDED - least
+        missing = room.used_cpu_s - self._cpu_s[number]
+        if least <= 0:
+            shortest_s = 0.0
+        elif missing > 0:
+            shortest_s = missing / beside if beside > 0 else math.inf
+        elif beside >= 0 or -missing / -beside >= _SHORTEST_S:
+            shortest_s = 0.0
+        else:
+            # Not even one task fits beside, and no run is as short as the time until then.
+            shortest_s = math.inf
+        self.shortest_s[number] = shortest_s
 
 
 class Rooms:
@@ -116,39 +153,40 @@
         self._least = least
         """The least part of each kind of machine that any of the jobs takes, in processors; None
         where none of them may run."""
-        self._shortest: dict[Steady, list[float]] = {}
+        self._horizons: dict[Steady, _Horizon] = {}
 
     def add(self, room: Room) -> None:
         self._rooms.append(room)
-        for until, shortest in self._shortest.items():
-            shortest.append(self._of(room, until))
+        for horizon in self._horizons.values():
+            horizon.add(room, self._least[room.kind])
 
-    def _of(self, room: Room, until: Steady) -> float:
-        least = self._least[room.kind]
-        if least is None:
-            return math.inf
-        return room.shortest_s(least, until) if least > 0 else 0.0
+    def _horizon(self, until: Steady) -> _Horizon:
+        found = self._horizons.get(until)
+        if found is None:
+            found = self._horizons[until] = _Horizon(until)
+            for room in self._rooms:
+                found.add(room, self._least[room.kind])
+        return found
 
     def lay(self, job: JobView, most: int, needs: _Needs, until: Steady) -> int:
         """Lays up to `most` tasks of the job; how many fitted."""
-        if until not in self._shortest:
-            self._shortest[until] = [self._of(room, until) for room in self._rooms]
         run_s = max(_SHORTEST_S, job.estimate_s)
         left = most
-        for number, shortest_s in enumerate(self._shortest[until]):
+        horizon = self._horizon(until)
+        for number, shortest_s in enumerate(horizon.shortest_s):
             if shortest_s > run_s:
                 continue
             if left <= 0:
                 break
             room = self._rooms[number]
             need = needs.on(room.kind)
-            if need is None:
+            if need is None or not horizon.may_take(number, room, need, run_s):
                 continue
             laid = room.lay(need, run_s, left, until) if need > 0 else left
             if laid:
                 left -= laid
-                for other, shortest in self._shortest.items():
-                    shortest[number] = self._of(room, other)
+                for other in self._horizons.values():
+                    other.used(number, room, self._least[room.kind])
         return most - left
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,6 +11,7 @@
 import orjson
 import pytest
 from tornado import iostream, netutil, web
+from tornado.http1connection import HTTP1Connection
 
 from tealrill import wire
 from tealrill.api import front
@@ -132,3 +133,86 @@
             assert (await busy).status == 200
 
     asyncio.run(scenario())
+
+
+def _raw(path: str, body: bytes) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: here\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def test_one_who_sends_many_in_one_go_does_not_keep_others_waiting() -> None:
+    async def scenario() -> None:
+        async with _running() as world:
+            body = orjson.dumps(Worker("m-000001").report())
+            other = orjson.dumps(Worker("m-000002").report())
+            greedy = await asyncio.open_connection(*world.address)
+            patient = await asyncio.open_connection(*world.address)
+            greedy[1].write(_raw(wire.REPORT_PATH, body) * 400)
+            patient[1].write(_raw(wire.REPORT_PATH, other))
+            await patient[0].readuntil(b"\r\n\r\n")
+            assert world.reports.index(MachineId("m-000002")) < 400
+            while len(world.reports) < 401:
+                await asyncio.sleep(0)
+            for _, writer in (greedy, patient):
+                writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_reports_one_by_one_take_no_turn_between(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Half of all turns of a large fleet's leader were for a next request that was not there."""
+    yields: list[float] = []
+    sleep = asyncio.sleep
+
+    async def counted(delay: float) -> None:
+        if delay == 0:
+            yields.append(delay)
+        await sleep(delay)
+
+    async def scenario() -> None:
+        async with _running() as world:
+            monkeypatch.setattr(asyncio, "sleep", counted)
+            body = orjson.dumps(Worker("m-000001").report())
+            client = Client(world.address)
+            for _ in range(16):
+                assert (await client.request("POST", wire.REPORT_PATH, body)).status == 200
+
+    asyncio.run(scenario())
+    assert len(yields) == 2
+
+
+def test_heads_are_taken_apart_once_and_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    parsed: list[bytes] = []
+    parse = HTTP1Connection._parse_headers
+
+    def counted(message: Any, data: bytes) -> Any:
+        if not message.is_client:
+            parsed.append(data)
+        return parse(message, data)
+
+    async def scenario() -> None:
+        async with _running() as world:
+            body = orjson.dumps(Worker("m-000001").report())
+            client = Client(world.address)
+            for _ in range(5):
+                answer = await client.request("POST", wire.REPORT_PATH, body)
+                assert (answer.status, orjson.loads(answer.body)["baton"]) == (200, 4)
+            assert len(parsed) == 1
+            for size in range(1, 12):
+                assert (await client.request("POST", wire.REPORT_PATH, b"x" * size)).status == 400
+            assert len(front._Message._heads) <= 8
+            long = {"X-Long": "y" * 1000}
+            reader, writer = await asyncio.open_connection(*world.address)
+            for _ in range(2):
+                lines = "".join(f"{name}: {value}\r\n" for name, value in long.items())
+                head = f"POST {wire.REPORT_PATH} HTTP/1.1\r\n{lines}Content-Length: {len(body)}"
+                writer.write(head.encode() + b"\r\n\r\n" + body)
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+                await reader.readexactly(len(orjson.dumps(wire.report_answer(4, []))))
+            assert all(len(head) <= 256 for head in front._Message._heads)
+            writer.close()
+
+    monkeypatch.setattr(HTTP1Connection, "_parse_headers", counted)
+    monkeypatch.setattr(front, "_MOST_HEADS", 8)
+    front._Message._heads.clear()
+    asyncio.run(scenario())
