A moment that is one job's own has no table of all rooms

Jobs that only dear machines could help are laid by their latest start, each its own. A table of all rooms for each of them was a tenth of a leader's time, and keeping them up to date nearly as much.

--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -122,9 +122,12 @@
     can't serve a job costs one comparison.
     """
 
-    def __init__(self, least: dict[Kind, float | None]) -> None:
+    def __init__(self, least: dict[Kind, float | None], common: Container[Steady]) -> None:
         """`least`: the least part of each kind of machine that any of the jobs takes, in
-        processors; None where none of them may run."""
+        processors; None where none of them may run. `common`: moments that many jobs ask for.
+        (Kept for the moments of single jobs as well, what rooms have to give by each cost more than
+        it saved.)"""
+        self._common = common
         self._kinds = {kind: number for number, kind in enumerate(least)}
         self._least = list(least.values())
         self._kind: list[int] = []
@@ -171,6 +174,8 @@
         other.
         """
         run_s = max(_SHORTEST_S, job.estimate_s)
+        if until not in self._common:
+            return self._lay_once(run_s, most, parts, until, first)
         horizon = self._horizon(until)
         shortest = horizon.shortest_s if not first else horizon.shortest_s[first:]
         left = most
@@ -190,16 +195,42 @@
             if horizon.longest_s[number] >= run_s:
                 if supply + horizon.cpu_s[number] / run_s - used + _ROUNDED < need:
                     continue
-                supply = 0.0
-                for at, cpus in self._free[number]:
-                    if at <= until:
-                        supply += cpus * (1 + (until - at) // run_s)
+                supply = self._supply(number, run_s, until)
             laid = min(left, int((supply - used + 1e-6) // need))
             if laid > 0:
                 left -= laid
                 self._use(number, laid * need * run_s)
         return most - left
 
+    def _lay_once(
+        self, run_s: float, most: int, parts: list[float | None], until: Steady, first: int
+    ) -> int:
+        """The same by a moment that is this job's own: room by room, as far as it takes."""
+        left = most
+        for number, kind in enumerate(self._kind[first:], first):
+            if left <= 0:
+                break
+            need = parts[kind]
+            if need is None:
+                continue
+            if need <= 0:
+                return most
+            self.looks += 1
+            supply = self._supply(number, run_s, until) - self._used_cpu_s[number] / run_s
+            laid = min(left, int((supply + 1e-6) // need))
+            if laid > 0:
+                left -= laid
+                self._use(number, laid * need * run_s)
+        return most - left
+
+    def _supply(self, number: int, run_s: float, until: Steady) -> float:
+        """Processors for tasks of that length, those counted twice that serve two in turn."""
+        supply = 0.0
+        for at, cpus in self._free[number]:
+            if at <= until:
+                supply += cpus * (1 + (until - at) // run_s)
+        return supply
+
     def _use(self, number: int, cpu_s: float) -> None:
         self._used_cpu_s[number] += cpu_s
         for horizon in self._horizons.values():
@@ -360,7 +391,8 @@
     known = [m for m in machines if m.type in sizes]
     kinds = {(m.type, m.zone, m.spot) for m in known} | {offer.kind for offer in catalogue}
     all_needs = [_Needs(wish.job, sizes) for wish in wishes]
-    rooms = Rooms({kind: _least(all_needs, kind) for kind in kinds})
+    boots = {Steady(now + offer.boot_s) for offer in catalogue}
+    rooms = Rooms({kind: _least(all_needs, kind) for kind in kinds}, boots)
     for machine in known:
         rooms.add((machine.type, machine.zone, machine.spot), _free(machine, now))
     counts: dict[tuple[str, str], int] = {}
