The daemon runs on libuv's event loop where there is one

A third of a controller's time on a large fleet goes into the loop itself: a look at all sockets, then the callbacks, in Python. uvloop does the same in C; without it asyncio's own loop runs. Nodes in the tests run on it too; while profiled, a node stays on the loop whose turns can be charged.

--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -334,13 +334,24 @@
     gc.set_threshold(*_COLLECT)
 
 
+def new_loop() -> asyncio.AbstractEventLoop:
+    """libuv's loop where there is one; it is not built for every platform, and nothing needs it."""
+    try:
+        import uvloop
+    except ImportError:
+        return asyncio.new_event_loop()
+    return uvloop.new_event_loop()
+
+
 def serve(settings: Settings, features: Features) -> None:
     """Runs a node until the process is killed."""
     spare_collector()
     if features.profile.on:
+        # The profiler charges the turns of the loop that is written in Python.
         asyncio.run(_profiled(settings, features))
     else:
-        asyncio.run(Node(settings, features).run())
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            runner.run(Node(settings, features).run())
 
 
 async def _profiled(settings: Settings, features: Features) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 
 from tealrill import features, settings
 from tealrill.cli import main
-from tealrill.controller import Node
+from tealrill.controller import Node, new_loop
 from tealrill.http import Answer, Client
 from tests.samples import SETTINGS, SUBMISSION
 from tests.standins import Cloud, State, Worker
@@ -118,7 +118,9 @@
         async with running() as world:
             await test(world)
 
-    asyncio.run(run())
+    # On the loop that the daemon runs on.
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(run())
 
 
 def test_a_job_runs_to_its_end() -> None:
