Renting and returning are duties: recorded first, fenced, handed over

What went to the cloud was guarded by nothing: a process that stood still sent on waking what its term had decided, a new leader gave work to machines that its predecessor was returning, and learned of its rentals from a list 10 s late.

A rental or return is committed under cloud/ through the holder's fence before it is asked for, the term's validity is looked at once more right before bytes leave, and whoever leads next reads what is open: it finishes rentals under their names and treats machines under a recorded return as no room. All of the leader's transactions take their guard from one place. /admin/state shows the duties.

In generated successions with late, lost and refused requests and up to five terms in a row, replaced holders that go on end no work of a later term; without each of four clauses they do.

--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -299,6 +299,7 @@
             shown["machines"] = len(leader.fleet.machines)
             shown["jobs"] = len(leader.book.jobs)
             shown["head"] = plan.head
+            shown["duties"] = leader.duties()
             shown["waiting"] = {job.id: left for job, left in plan.unplaced}
             for part in leader.parts:
                 shown.update(part.describe())
--- a/tealrill/fleet/cloud.py
+++ b/tealrill/fleet/cloud.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Sequence
 from urllib.parse import urlencode
 
 from tealrill import wire
@@ -19,6 +20,10 @@
 MOST_RENTED = 50
 
 
+def _anybody() -> None:
+    """What any node may ask."""
+
+
 class CloudError(Exception):
     """The request brought no result; it may have taken effect or may yet."""
 
@@ -64,11 +69,23 @@
                 return found
             after = page.machines[-1].id
 
-    async def rent(self, name: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
-        """The machines rented under this request name; raises `NoCapacity` or `CloudError`."""
+    async def rent(
+        self,
+        name: str,
+        type_name: str,
+        zone: str,
+        spot: bool,
+        count: int,
+        check: Callable[[], None] = _anybody,
+    ) -> list[str]:
+        """The machines rented under this request name; raises `NoCapacity` or `CloudError`.
+
+        `check` is called after every wait, right before the request leaves; what it raises comes
+        out here, and then nothing was sent.
+        """
         await self.budget.take()
         body = wire.encode(wire.rent_request(name, type_name, zone, spot, count))
-        answer = await self._send("POST", "/hosts", body)
+        answer = await self._send("POST", "/hosts", body, check)
         if answer.status == 503 and b"no capacity" in answer.body:
             raise NoCapacity
         if answer.status == 400:
@@ -77,17 +94,28 @@
             raise NoCapacity
         return self._read(answer, wire.Rented).machines
 
-    async def release(self, machines: list[MachineId]) -> None:
-        """Returns when the machines and everything on them are gone; raises `CloudError`."""
+    async def release(
+        self, machines: Sequence[MachineId], check: Callable[[], None] = _anybody
+    ) -> None:
+        """Returns when the machines and everything on them are gone; raises `CloudError`.
+
+        `check` as in `rent`.
+        """
         await self.budget.take()
         body = wire.encode(wire.release_request(list(machines)))
-        answer = await self._send("POST", "/hosts/release", body)
+        answer = await self._send("POST", "/hosts/release", body, check)
         if answer.status != 200:
             raise CloudError(f"status {answer.status}")
 
-    async def _send(self, method: str, path: str, body: bytes | None = None) -> Answer:
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        check: Callable[[], None] = _anybody,
+    ) -> Answer:
         try:
-            return await self._http.request(method, path, body, _TIMEOUT_S)
+            return await self._http.request(method, path, body, _TIMEOUT_S, check)
         except NoAnswer as error:
             raise CloudError(str(error)) from None
 
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -97,6 +97,9 @@
     notice_until: Steady | None = None
     lapsed: bool = False
     releasing: bool = False
+    """It goes back: no room, whatever else becomes of it."""
+    returned: bool = False
+    """Its return is recorded, so that it goes back whoever leads."""
     draining: str = ""
     """Why nothing more is placed here; empty if it is."""
     strangers: int = 0
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -3,26 +3,32 @@
 The wanted state is a number of machines of each kind and a set of machines to return; the loops in
 here work off the difference. A request without an answer is repeated under its name until it gets
 one, since a name that was answered 200 rents nothing more.
+
+Nothing is asked for that is not recorded first (`fleet/intents.py`), and nothing leaves once the
+term may be over: whoever leads next reads the records and goes on.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from tealrill import wire
 from tealrill.fleet.cloud import MOST_RELEASED, MOST_RENTED, Cloud, CloudError, NoCapacity
+from tealrill.fleet.intents import Intents
 from tealrill.fleet.machines import Fleet, Machine
 from tealrill.fleet.refusals import Refusals
 from tealrill.scheduler.capacity import Kind, Offer, Rental
-from tealrill.types import MachineId, Steady, Token, parse_machine_id, steady_now
+from tealrill.state.duty import Duty, Replaced
+from tealrill.types import MachineId, Steady, Token, Wall, parse_machine_id, steady_now
 
 log = logging.getLogger(__name__)
 
 _RETRY_S: Final = 1.0
+_RETURNS_EVERY_S: Final = 0.25
 _RELEASES_FIRST_S: Final = 2.0
 _LIST_EVERY_S: Final = 5.0
 _CATALOGUE_EVERY_S: Final = 30.0
@@ -42,10 +48,22 @@
 class Renter:
     """Deals with the cloud for one term."""
 
-    def __init__(self, cloud: Cloud, fleet: Fleet, term: Token, list_lag_s: float) -> None:
+    def __init__(
+        self,
+        cloud: Cloud,
+        fleet: Fleet,
+        term: Token,
+        list_lag_s: float,
+        intents: Intents,
+        renting: Duty,
+        returning: Duty,
+    ) -> None:
         self._cloud = cloud
         self._fleet = fleet
         self._term = term
+        self.intents = intents
+        self.renting = renting
+        self.returning = returning
         self._lag_s = list_lag_s
         self._names = 0
         self.requests: dict[str, Request] = {}
@@ -110,7 +128,7 @@
         with a pass between them, 160 machines took 15 s.
         """
         kind = rental.kind
-        if self.asked_for(kind):
+        if self.asked_for(kind) or self.intents.full:
             return
         parts: list[Request] = []
         for begin in range(0, rental.count, MOST_RENTED):
@@ -149,15 +167,23 @@
         while steady_now() < until and any(m.releasing for m in self._fleet.machines.values()):
             await asyncio.sleep(0.1)
 
-    async def _rent(self, request: Request) -> int:
+    async def _rent(self, request: Request, recorded: bool = False) -> int:
         """How many were rented."""
         rental = request.rental
         kind = rental.kind
-        await self._releases_first()
+        if not recorded:
+            await self._releases_first()
+            await self.intents.rent(request.name, rental)
         while True:
             try:
-                names = await self._cloud.rent(request.name, *kind, rental.count)
+                names = await self._cloud.rent(
+                    request.name, *kind, rental.count, self.renting.check
+                )
                 break
+            except Replaced as error:
+                # The record stands: this term goes on, or the next leader asks for it.
+                log.debug("rental %s: %s", request.name, error)
+                await asyncio.sleep(_RETRY_S)
             except NoCapacity:
                 names = []
                 break
@@ -167,6 +193,11 @@
         del self.requests[request.name]
         now = steady_now()
         names = self._usable(names, rental.count)
+        if names:
+            self.intents.granted(request.name, names)
+        else:
+            self.intents.rent_over(request.name)
+        self.renting.did(f"{request.name}: {len(names)} of {rental.count} {rental.type}")
         self.refusals.answered(kind, rental.count, len(names), now)
         log.info(
             "rental %s: %d of %d %s in %s%s",
@@ -204,28 +235,98 @@
         if machine is None:
             machine = Machine(machine_id, rental.type, rental.zone, rental.spot, since)
             self._fleet.machines[machine_id] = machine
+        elif not machine.type:
+            # Known from a former leader's bindings only.
+            self._fleet.locate(machine, rental.type, rental.zone, rental.spot)
         machine.since = since
 
+    # -- what former terms left open ------------------------------------------------------------
+
+    def inherit(self, entries: Sequence[wire.Entry], now: Steady, wall: Wall) -> None:
+        """Takes over what was recorded and is not over, before anything is placed.
+
+        Machines under a recorded return are no room from here on: a request for them may be on its
+        way. Rentals that were answered name their machines; the others are asked for again.
+        """
+        for name in self.intents.read(entries):
+            record = self.intents.rents[name]
+            rental = Rental(record.type, record.zone, record.spot, record.count)
+            since = Steady(now - max(0.0, wall - record.at))
+            if record.names is not None:
+                for machine in record.names:
+                    self._rented(machine, rental, since)
+                continue
+            request = self.requests[name] = Request(name, rental, since)
+            task = asyncio.create_task(self._finish(request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        for names in self.intents.returns.values():
+            for machine_id in names:
+                known = self._fleet.machines.get(machine_id)
+                if known is None:
+                    known = Machine(machine_id, "", "", False, now)
+                    self._fleet.machines[machine_id] = known
+                known.releasing = known.returned = True
+        if entries:
+            log.info(
+                "term %d: %d rentals and %d returns taken over",
+                self._term,
+                len(self.intents.rents),
+                len(self.intents.returns),
+            )
+
+    async def _finish(self, request: Request) -> None:
+        await self._rent(request, recorded=True)
+
     # -- returning ------------------------------------------------------------------------------
 
+    async def run_returns(self) -> None:
+        """Records the return of every machine marked `releasing`, as many at once as there are."""
+        while True:
+            wanted = [m for m in self._fleet.machines.values() if m.releasing and not m.returned][
+                :MOST_RELEASED
+            ]
+            if not wanted or self.intents.full:
+                await asyncio.sleep(_RETURNS_EVERY_S)
+                continue
+            _, recorded = await self.intents.give_back([m.id for m in wanted])
+            for machine_id in recorded:
+                machine = self._fleet.machines.get(machine_id)
+                if machine is not None:
+                    machine.returned = True
+
     async def run_releases(self) -> None:
-        """Asks for the release of every machine marked `releasing`, until it is confirmed."""
+        """Asks for the release of what is recorded, until it is confirmed."""
         while True:
-            names = [m.id for m in self._fleet.machines.values() if m.releasing][:MOST_RELEASED]
-            if not names:
-                await asyncio.sleep(0.25)
+            keys, names = self._next_release()
+            if not keys:
+                await asyncio.sleep(_RETURNS_EVERY_S)
                 continue
             try:
-                await self._cloud.release(names)
-            except CloudError as error:
+                await self._cloud.release(names, self.returning.check)
+            except (CloudError, Replaced) as error:
                 log.debug("release of %s: %s", names, error)
                 await asyncio.sleep(_RETRY_S)
                 continue
             log.info("released %s", ", ".join(names))
+            self.returning.did(f"{len(names)} machines")
+            for key in keys:
+                self.intents.gone(key)
             for machine_id in names:
                 self._freed(self._fleet.machines.get(machine_id))
                 self._fleet.released(machine_id, steady_now())
 
+    def _next_release(self) -> tuple[list[str], list[MachineId]]:
+        """As many whole records as one request takes, the oldest first."""
+        keys: list[str] = []
+        names: list[MachineId] = []
+        for key, machines in self.intents.returns.items():
+            if len(names) + len(machines) > MOST_RELEASED:
+                break
+            keys.append(key)
+            names += machines
+        return keys, names
+
     def _freed(self, machine: Machine | None) -> None:
         """A machine has gone: the cloud may have places of its kind again."""
         if machine is not None and machine.type:
@@ -264,6 +365,18 @@
                 machine.unlisted += machine.listed_at is not None
                 self._not_listed(machine, now)
         self._fleet.forget_gone(now)
+        self._seen()
+
+    def _seen(self) -> None:
+        """Rentals whose machines are all known by themselves need no record any more."""
+        for name, record in list(self.intents.rents.items()):
+            if record.names is not None and not any(map(self._unseen, record.names)):
+                self.intents.rent_over(name)
+
+    def _unseen(self, name: str) -> bool:
+        machine_id = parse_machine_id(name)
+        machine = self._fleet.machines.get(machine_id) if machine_id is not None else None
+        return machine is not None and machine.listed_at is None and machine.heard_at is None
 
     def _relisted(self, machine_id: MachineId, now: Steady) -> None:
         """The list lags, so a released machine may stand on it for a while."""
--- a/tealrill/http.py
+++ b/tealrill/http.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import Final
 
 from tornado import httputil, iostream
@@ -109,9 +110,17 @@
         self._most = most
 
     async def request(
-        self, method: str, path: str, body: bytes | None = None, timeout_s: float = 2.0
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float = 2.0,
+        check: Callable[[], None] | None = None,
     ) -> Answer:
-        """One request and its response; raises `NoAnswer`."""
+        """One request and its response; raises `NoAnswer`.
+
+        `check` is called once there is a connection and before any byte leaves; it may raise.
+        """
         sent = False
         stream: iostream.IOStream | None = None
         try:
@@ -121,6 +130,8 @@
                     stream = iostream.IOStream(socket.socket())
                     send_at_once(stream)
                     await stream.connect((self._address.host, self._address.port))
+                if check is not None:
+                    check()
                 sent = True
                 answer = await self._exchange(stream, method, path, body)
         except (TimeoutError, OSError, iostream.StreamClosedError, httputil.HTTPInputError) as err:
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -13,6 +13,7 @@
 from tealrill import wire
 from tealrill.fleet.cloud import Cloud
 from tealrill.fleet.dispatch import RENT_EVERY_S, Dispatcher
+from tealrill.fleet.intents import CLOUD_PREFIX, Intents
 from tealrill.fleet.lines import Lines
 from tealrill.fleet.machines import Finished, Fleet, Machine, NewerToken
 from tealrill.fleet.prober import Prober
@@ -37,6 +38,7 @@
 )
 from tealrill.state.client import StateClient, StateError
 from tealrill.state.deputy import PERMIT_S, Permits
+from tealrill.state.duty import Duty
 from tealrill.state.election import Election, Leadership
 from tealrill.state.keeper import Deposed, Keeper
 from tealrill.types import (
@@ -112,14 +114,23 @@
         )
         self.fleet.changed = self.wake
         self.fleet.finished = self._finished
-        self.renter = Renter(cloud, self.fleet, mine.term, params.cloud.list_lag_s)
+        self.keeper = Keeper(
+            client, self.book, mine, params.state.txn_ops, self._committed, self._job_over
+        )
+        self.intents = Intents(self.keeper.join, mine.term, params.state.value_kb)
+        self.renter = Renter(
+            cloud,
+            self.fleet,
+            mine.term,
+            params.cloud.list_lag_s,
+            self.intents,
+            self._duty("renting"),
+            self._duty("returning"),
+        )
         self.renter.changed = self.wake
         self.dispatcher = Dispatcher(
             self.book, self.fleet, self.renter, estimates, params, self._command_now
         )
-        self.keeper = Keeper(
-            client, self.book, mine, params.state.txn_ops, self._committed, self._job_over
-        )
         self.seen = Revision(0)
         """Changes of jobs are known up to this revision."""
         term = Term(
@@ -160,6 +171,7 @@
                 group.create_task(self._passes())
                 group.create_task(self._silences())
                 group.create_task(self.prober.run())
+                group.create_task(self.renter.run_returns())
                 group.create_task(self.renter.run_releases())
                 group.create_task(self.renter.run_lists())
                 for part in self.parts:
@@ -179,6 +191,21 @@
         """Something happened that may change what a pass decides."""
         self._wake.set()
 
+    def _duty(self, name: str) -> Duty:
+        return Duty(name, self._mine.term, self._mine.elected_at, self._valid)
+
+    def duties(self) -> dict[str, Any]:
+        """The duties that this node holds, for operators."""
+        now = steady_now()
+        intents = self.intents
+        return {
+            duty.name: duty.describe(now, count)
+            for duty, count in (
+                (self.renter.renting, len(intents.rents)),
+                (self.renter.returning, len(intents.returns)),
+            )
+        }
+
     def _valid(self) -> bool:
         return self._election.leading(steady_now()) is self._mine
 
@@ -190,6 +217,7 @@
             try:
                 jobs, revision = await self._client.scan(JOB_PREFIX)
                 chunks, _ = await self._client.scan(RUN_PREFIX)
+                asked, _ = await self._client.scan(CLOUD_PREFIX)
                 self._read_others(jobs)
                 for entry in jobs:
                     self._add_job(entry.key, entry.value, Revision(entry.version))
@@ -204,6 +232,7 @@
                 self.book.clear()
         now = steady_now()
         self.fleet.inherit(bindings, now)
+        self.renter.inherit(asked, now, wall_now())
         for job in list(self.book.jobs.values()):
             if job.cancelled:
                 self.book.cancel(job)
--- a/tealrill/state/deputy.py
+++ b/tealrill/state/deputy.py
@@ -20,7 +20,8 @@
 from tealrill.http import Client, NoAnswer
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import Committed, Refused, StateClient, StateError
-from tealrill.state.election import LEADER_KEY, Election, KnownLeader
+from tealrill.state.duty import LEADER_KEY, Fence
+from tealrill.state.election import Election, KnownLeader
 from tealrill.state.truce import PING_PATH
 from tealrill.types import ABSENT, Revision, Steady, Token, steady_now, surely_until
 
@@ -152,8 +153,8 @@
         self, client: StateClient, term: Token, stamp: Revision, ended: Callable[[], None]
     ) -> None:
         self._client = client
+        self._fence = Fence(client, stamp)
         self._term = term
-        self._stamp = stamp
         self._ended = ended
         """Called when a permit has ended, or may have."""
         self._since: dict[str, Steady] = {}
@@ -196,9 +197,8 @@
         self._written.clear()
 
     async def _change(self, entry: wire.Entry, change: dict[str, object]) -> None:
-        guards = [wire.guard(LEADER_KEY, self._stamp), wire.guard(entry.key, entry.version)]
         try:
-            result = await self._client.commit(guards, [change])
+            result = await self._fence.commit({entry.key: Revision(entry.version)}, [change])
         finally:
             # Without an answer it may have ended all the same.
             self._ended()
--- /dev/null
+++ b/tealrill/state/duty.py
@@ -0,0 +1,79 @@
+"""What only one controller may do at a time: who may, under which epoch, and how it is fenced.
+
+Terms of the field: the *holder* of a duty has it under a *lease*; each holding has an *epoch* that
+only grows; a *fence* keeps out what a holder sends that was replaced meanwhile. All duties here are
+held with the leader's lease (docs/notes/005-duties.md weighs the others): the epoch is the term,
+and the fencing token is the version of the leader's key.
+
+- What goes to the state service goes through `Fence`, which adds the guard on the leader's key: a
+  write of a duty without it can't be expressed.
+- What goes to the cloud can't be fenced there. So it is recorded first (`fleet/intents.py`),
+  through the fence, and `Duty.check` is asked again at the last moment before bytes leave.
+
+This module knows neither machines nor jobs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from tealrill import wire
+from tealrill.state.client import Committed, Failed, StateClient
+from tealrill.types import Revision, Steady, Token
+
+LEADER_KEY: Final = "leader"
+
+
+class Replaced(Exception):
+    """The holder may not act at this moment; perhaps it never may again."""
+
+
+class Fence:
+    """The one way to the state service for what a duty writes."""
+
+    def __init__(self, client: StateClient, token: Revision) -> None:
+        self._client = client
+        self.token = token
+
+    def guards(self, others: dict[str, Revision]) -> dict[str, Revision]:
+        """The guards of a transaction: the keys that it depends on, and the holder's right."""
+        return {LEADER_KEY: self.token, **others}
+
+    async def commit(
+        self, guards: dict[str, Revision], changes: list[dict[str, Any]], paid: bool = False
+    ) -> Committed | Failed:
+        """One transaction of the holder; raises what `StateClient.commit` raises."""
+        full = [wire.guard(key, stamp) for key, stamp in self.guards(guards).items()]
+        return await self._client.commit(full, changes, paid=paid)
+
+
+@dataclass(slots=True, eq=False)
+class Duty:
+    """One duty, as its holder has it."""
+
+    name: str
+    epoch: Token
+    since: Steady
+    valid: Callable[[], bool]
+    """Whether its holder may act at this very moment."""
+    last: str = ""
+    """What was done under it last, for operators."""
+
+    def check(self) -> None:
+        """Raises `Replaced`. To be asked after every wait, right before something leaves."""
+        if not self.valid():
+            raise Replaced(f"{self.name}: epoch {self.epoch} is over, or may be")
+
+    def did(self, what: str) -> None:
+        self.last = what
+
+    def describe(self, now: Steady, open_count: int) -> dict[str, Any]:
+        """For operators: epoch, since when in seconds, what is open and what was done last."""
+        return {
+            "epoch": self.epoch,
+            "held_s": round(now - self.since, 1),
+            "open": open_count,
+            "last": self.last,
+        }
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -19,11 +19,11 @@
 
 from tealrill import wire
 from tealrill.state.client import Committed, Refused, Rejected, StateClient, StateError, Unknown
+from tealrill.state.duty import LEADER_KEY
 from tealrill.types import ABSENT, LeaseId, Revision, Steady, Token, steady_now, surely_until
 
 log = logging.getLogger(__name__)
 
-LEADER_KEY: Final = "leader"
 TERM_KEY: Final = "term"
 TTL_S: Final = 3.0
 _MARGIN_S: Final = 0.2
--- a/tealrill/state/keeper.py
+++ b/tealrill/state/keeper.py
@@ -32,7 +32,8 @@
     StateError,
     Unknown,
 )
-from tealrill.state.election import LEADER_KEY, Leadership
+from tealrill.state.duty import LEADER_KEY, Fence
+from tealrill.state.election import Leadership
 from tealrill.types import ABSENT, Revision, Steady, steady_now
 
 log = logging.getLogger(__name__)
@@ -57,6 +58,9 @@
     """They were executed, in this revision."""
     refused: Callable[[dict[str, wire.KeyValue | None]], None]
     """They were not, and will not be; with the guards' keys as they were read back since."""
+    ahead_at: Steady | None = None
+    """For what somebody waits for: right behind new bindings, and from this moment on before them,
+    whatever else there is to write. None: when there is room for what can wait."""
 
     @property
     def size(self) -> int:
@@ -90,7 +94,7 @@
     ) -> None:
         self._client = client
         self._book = book
-        self._mine = mine
+        self._fence = Fence(client, mine.stamp)
         self._txn_ops = txn_ops
         self._committed = committed
         self._job_over = job_over
@@ -132,18 +136,19 @@
         New bindings go by urgency class, and in the order in which they came within one: after a
         fall the bindings of hundreds of lost tasks would otherwise go before an urgent job's.
         """
-        batch = _Batch(guards={LEADER_KEY: self._mine.stamp})
+        batch = _Batch()
         room = min(self._txn_ops, int(self._client.writes.available()))
         for job in list(self._book.ending.values()):
             if not self._add_end(batch, job, room):
                 break
+        awaited = {j: j.ahead_at for j in self.joined if j.ahead_at is not None}
+        self._add_all(batch, [j for j, at in awaited.items() if now >= at], room)
         for chunk in sorted(self._book.urgent, key=_rank, reverse=True):
             if not self._add_chunk(batch, chunk, room):
                 break
+        self._add_all(batch, [j for j in awaited if j not in batch.joined], room)
         spare = min(room, max(0, int(self._client.writes.available(urgent=False))))
-        for joined in list(self.joined):
-            if not self._add_joined(batch, joined, spare):
-                break
+        self._add_all(batch, [j for j in self.joined if j.ahead_at is None], spare)
         for chunk in list(self._book.lazy):
             due = chunk.dirty_since is not None and now - chunk.dirty_since >= _LAZY_S
             if due and not self._add_chunk(batch, chunk, spare):
@@ -185,6 +190,11 @@
         batch.jobs.append(job)
         return True
 
+    def _add_all(self, batch: _Batch, wanted: list[Joined], room: int) -> None:
+        for joined in wanted:
+            if not self._add_joined(batch, joined, room):
+                return
+
     def _add_joined(self, batch: _Batch, joined: Joined, room: int) -> bool:
         size = joined.size
         if len(batch.changes) + len(joined.changes) > room or batch.bytes + size > _TXN_BYTES:
@@ -217,9 +227,8 @@
 
     async def _commit(self, batch: _Batch) -> None:
         self._client.writes.spend(len(batch.changes))
-        guards = [wire.guard(key, stamp) for key, stamp in batch.guards.items()]
         try:
-            result = await self._client.commit(guards, batch.changes, paid=True)
+            result = await self._fence.commit(batch.guards, batch.changes, paid=True)
         except Refused as error:
             log.debug("commit refused: %s", error)
             await asyncio.sleep(_BACK_OFF_S)
@@ -228,7 +237,7 @@
             await asyncio.sleep(1.0)
         except Unknown as error:
             log.info("commit without an answer (%s): reading back", error)
-            await self._reread(batch, list(batch.guards))
+            await self._reread(batch, list(self._fence.guards(batch.guards)))
         else:
             if isinstance(result, Failed):
                 log.debug("commit failed on %s", result.keys)
@@ -281,7 +290,7 @@
             if key in owners and stamp != owners[key].stamp:
                 self.owner_gone(owners[key])
             if key == LEADER_KEY:
-                if stamp != self._mine.stamp:
+                if stamp != self._fence.token:
                     raise Deposed
             elif key in chunks:
                 chunks[key].stamp = stamp
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -7,8 +7,11 @@
 import orjson
 
 from tealrill import wire
+from tealrill.fleet.intents import Intents
 from tealrill.scheduler.model import JobView, MachineView, Pace, RunningTask
-from tealrill.types import JobId, MachineId, Steady, TaskId
+from tealrill.state.duty import Duty
+from tealrill.state.keeper import Joined
+from tealrill.types import JobId, MachineId, Revision, Steady, TaskId, Token
 
 SETTINGS: dict[str, Any] = {
     "host_name": "node-0",
@@ -146,3 +149,15 @@
         "save_s": 0.0,
     }
     return RunningTask(**{**values, **changes})
+
+
+def recorded_at_once() -> tuple[Intents, Duty, Duty]:
+    """What a `Renter` needs beside the cloud: records that are committed as they are made."""
+
+    def join(joined: Joined) -> None:
+        joined.applied(Revision(1))
+
+    def duty(name: str) -> Duty:
+        return Duty(name, Token(1), Steady(0.0), lambda: True)
+
+    return Intents(join, Token(1), 8.0), duty("renting"), duty("returning")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -286,3 +286,22 @@
 
     def end(self, name: str, why: str) -> None:
         self.tasks[name].update(status="ended", cause=why)
+
+
+class JumpingLoop(asyncio.SelectorEventLoop):
+    """A loop whose time jumps to the next timer, so that nothing on it waits."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.at = 0.0
+        self.turns = 0
+
+    def time(self) -> float:
+        return self.at
+
+    def _run_once(self) -> None:
+        scheduled = self._scheduled  # type: ignore[attr-defined]
+        if not self._ready and scheduled:  # type: ignore[attr-defined]
+            self.at = max(self.at, scheduled[0].when())
+        self.turns += len(self._ready)  # type: ignore[attr-defined]
+        super()._run_once()  # type: ignore[misc]
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -17,31 +17,13 @@
 from tealrill.state.budget import Budget, Rank
 from tealrill.state.client import Busy, StateClient
 from tealrill.types import Steady
+from tests.standins import JumpingLoop
 
 T = TypeVar("T")
 
 
-class _Loop(asyncio.SelectorEventLoop):
-    """A loop whose time jumps to the next timer, so that nothing here waits."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.at = 0.0
-        self.turns = 0
-
-    def time(self) -> float:
-        return self.at
-
-    def _run_once(self) -> None:
-        scheduled = self._scheduled  # type: ignore[attr-defined]
-        if not self._ready and scheduled:  # type: ignore[attr-defined]
-            self.at = max(self.at, scheduled[0].when())
-        self.turns += len(self._ready)  # type: ignore[attr-defined]
-        super()._run_once()  # type: ignore[misc]
-
-
-def _run(monkeypatch: pytest.MonkeyPatch, work: Coroutine[Any, Any, T]) -> tuple[T, _Loop]:
-    loop = _Loop()
+def _run(monkeypatch: pytest.MonkeyPatch, work: Coroutine[Any, Any, T]) -> tuple[T, JumpingLoop]:
+    loop = JumpingLoop()
     monkeypatch.setattr(budget, "steady_now", lambda: Steady(loop.at))
     try:
         return loop.run_until_complete(work), loop
--- a/tests/test_deputy.py
+++ b/tests/test_deputy.py
@@ -12,7 +12,8 @@
 from tealrill.http import Answer, Client, NoAnswer
 from tealrill.state.client import Committed, Failed, Refused, StateClient, StateError
 from tealrill.state.deputy import DEPUTY_PREFIX, PERMIT_S, Deputy, Permits
-from tealrill.state.election import LEADER_KEY, Election, KnownLeader
+from tealrill.state.duty import LEADER_KEY
+from tealrill.state.election import Election, KnownLeader
 from tealrill.types import Revision, Steady, Token
 from tests.samples import SETTINGS
 
@@ -38,7 +39,9 @@
             if k.startswith(prefix)
         ], Revision(self.epoch)
 
-    async def commit(self, guards: list[Any], changes: list[Any]) -> Committed | Failed:
+    async def commit(
+        self, guards: list[Any], changes: list[Any], paid: bool = False
+    ) -> Committed | Failed:
         failed = [g["path"] for g in guards if self.keys.get(g["path"], (0, 0))[1] != g["stamp"]]
         if failed:
             return Failed(failed)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -31,7 +31,7 @@
     Wall,
     parse_task_id,
 )
-from tests.samples import SETTINGS, report, spec
+from tests.samples import SETTINGS, recorded_at_once, report, spec
 
 _TYPE = {
     "label": "big", "vcpus": 8, "gpus": 0, "memoryGb": 64, "localGb": 50, "fetchGbPerS": 1.0,
@@ -49,7 +49,7 @@
     book = Book(8.0)
     fleet = Fleet(book, Token(1), Steady(0.0), params.workers.lease_s)
     fleet.inherit([], Steady(0.0))
-    renter = _NoRentals(cast(Cloud, None), fleet, Token(1), 2.0)
+    renter = _NoRentals(cast(Cloud, None), fleet, Token(1), 2.0, *recorded_at_once())
     large = {**_TYPE, "label": "huge", "vcpus": 32}
     renter.take_catalogue(wire.decode(orjson.dumps({"builds": [_TYPE, large]}), wire.Catalogue))
     dispatcher = Dispatcher(book, fleet, renter, Estimates(), params, lambda _: None)
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,515 @@
+"""Duties through successions: who was replaced ends nothing, rents nothing and loses nothing.
+
+Real terms (`Keeper`, `Intents`, `Renter`, `Fleet`) over a state service and a cloud that lose,
+refuse and delay. A term that is replaced goes on running, as a process does that stood still and
+wakes: all that keeps it from harm is what docs/design.md says does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any, cast
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tealrill import wire
+from tealrill.fleet import intents, rental
+from tealrill.fleet.cloud import Cloud, CloudError, NoCapacity
+from tealrill.fleet.intents import CLOUD_PREFIX, Intents, RentRecord, ReturnRecord
+from tealrill.fleet.machines import Fleet
+from tealrill.fleet.rental import Renter
+from tealrill.scheduler.capacity import Rental
+from tealrill.state import budget, duty, keeper
+from tealrill.state.book import Book
+from tealrill.state.client import Failed, StateClient
+from tealrill.state.duty import LEADER_KEY, Duty, Fence, Replaced
+from tealrill.state.election import Leadership
+from tealrill.state.keeper import Deposed, Joined, Keeper
+from tealrill.types import (
+    ABSENT,
+    LeaseId,
+    MachineId,
+    Revision,
+    Steady,
+    Token,
+    Wall,
+    steady_now,
+)
+from tests.samples import report
+from tests.standins import JumpingLoop
+from tests.test_records import Store
+
+_KIND = ("big", "north", False)
+
+
+class Broken(AssertionError):
+    """One of the claims does not hold."""
+
+
+class _Store(Store):
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng, guarded=True)
+        self.ever: set[str] = set()
+
+    def execute(self, guards: list[Any], changes: list[Any]) -> Any:
+        result = super().execute(guards, changes)
+        if not isinstance(result, Failed):
+            self.ever |= {change["set"] for change in changes if "set" in change}
+        return result
+
+
+class _CloudWorld:
+    """Rents under names, deletes at once with all that runs there; requests may come late."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.answers: dict[str, list[str]] = {}
+        self.alive: dict[str, bool] = {}
+        self.held: list[tuple[float, Any]] = []
+        self.gone: set[str] = set()
+        self.count = 0
+
+    def hire(self, term: int, name: str, count: int) -> list[str]:
+        if CLOUD_PREFIX + "rent/" + name not in self.world.store.ever:
+            raise Broken(f"{name} was not recorded")
+        if name not in self.answers:
+            names = [f"m-{self.count + n:06d}" for n in range(count)]
+            self.count += count
+            self.answers[name] = names
+            self.alive.update(dict.fromkeys(names, True))
+        return self.answers[name]
+
+    def listed(self) -> list[wire.ListedMachine]:
+        return [
+            wire.ListedMachine(id=name, type="big", zone="north", spot=False, state="running")
+            for name in self.alive
+        ]
+
+    def delete(self, term: int, names: list[str]) -> None:
+        for name in names:
+            if self.alive.pop(name, None) is None:
+                continue
+            self.gone.add(name)
+            worked = self.world.work.pop(name, 0)
+            if worked > term:
+                raise Broken(f"term {term} ended work of term {worked} on {name}")
+
+
+class _Cloud:
+    """One term's way to it."""
+
+    def __init__(self, world: World, term: int) -> None:
+        self.world, self.term = world, term
+
+    async def _fate(self, request: Any, check: Any) -> Any:
+        world = self.world
+        await asyncio.sleep(world.rng.uniform(0.0, 0.4))
+        check()
+        fate = "good" if world.calm else world.rng.choice(["good"] * 4 + ["lost", "held", "busy"])
+        if fate == "busy":
+            raise CloudError("status 429")
+        if fate == "held":
+            world.cloud.held.append((world.now + world.rng.uniform(0, 60), request))
+            await asyncio.sleep(5.0)
+            raise CloudError("no answer")
+        found = request()
+        if fate == "lost":
+            raise CloudError("no answer")
+        return found
+
+    async def rent(
+        self, name: str, type_name: str, zone: str, spot: bool, count: int, check: Any
+    ) -> list[str]:
+        if not self.world.calm and self.world.rng.random() < 0.1:
+            raise NoCapacity
+        cloud = self.world.cloud
+        found = await self._fate(lambda: cloud.hire(self.term, name, count), check)
+        return list(found)
+
+    async def release(self, machines: list[MachineId], check: Any) -> None:
+        cloud, names = self.world.cloud, list(map(str, machines))
+        await self._fate(lambda: cloud.delete(self.term, names), check)
+
+
+class _Term:
+    """What the leader of one term has of duties; it is never told that it is over."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number = world, number
+        stamp = world.store.keys[LEADER_KEY][1]
+        mine = Leadership(
+            Token(number), Revision(stamp), LeaseId(1), Steady(world.now), Steady(1e9)
+        )
+        book = Book(8.0)
+        self.fleet = Fleet(book, Token(number), Steady(world.now), 8.0)
+        self.keeper = Keeper(
+            cast(StateClient, world.store), book, mine, 12, lambda _: None, lambda _: None
+        )
+        self.intents = Intents(self.keeper.join, Token(number), 8.0)
+        duties = [Duty(n, Token(number), Steady(world.now), self.valid) for n in ("rent", "return")]
+        cloud = cast(Cloud, _Cloud(world, number))
+        self.renter = Renter(cloud, self.fleet, Token(number), 2.0, self.intents, *duties)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def valid(self) -> bool:
+        return self.world.term is self or not self.world.checked
+
+    async def start(self) -> None:
+        entries, _ = await self.world.store.scan(CLOUD_PREFIX)
+        self.fleet.inherit([], Steady(self.world.now))
+        self.renter.inherit(entries, Steady(self.world.now), Wall(self.world.now))
+        loops = (self.keeper.run(), self.renter.run_returns(), self.renter.run_releases())
+        self.tasks = [asyncio.create_task(self._ends(loop)) for loop in loops]
+
+    async def _ends(self, loop: Any) -> None:
+        try:
+            await loop
+        except Deposed:
+            pass
+        except Broken as error:
+            self.world.broken.append(error)
+
+    def act(self) -> None:
+        """Its workers report, and what it may use has work of this term from then on."""
+        for name in self.world.cloud.alive:
+            self.world.seq += 1
+            machine_id = MachineId(name)
+            heard = report(name, 1, self.world.seq, self.number)
+            at = Steady(self.world.now)
+            self.fleet.report(heard, machine_id, at, Wall(at))
+            machine = self.fleet.machines.get(machine_id)
+            if machine is not None and machine.placeable(at, 8.0):
+                self.world.work[name] = self.number
+
+    def wish(self) -> None:
+        rng = self.world.rng
+        if rng.random() < 0.5:
+            self.renter.rent(Rental(*_KIND, rng.randrange(1, 60)), Steady(self.world.now))
+        known = [m for m in self.fleet.machines.values() if m.heard_at and not m.releasing]
+        for machine in rng.sample(known, min(len(known), rng.randrange(30))):
+            machine.releasing = True
+            self.world.work.pop(machine.id, None)
+
+
+class World:
+    def __init__(self, seed: int, loop: JumpingLoop) -> None:
+        self.rng = random.Random(seed)
+        self.loop = loop
+        self.store = _Store(self.rng)
+        self.cloud = _CloudWorld(self)
+        self.work: dict[str, int] = {}
+        """The machines that have work, and of which term."""
+        self.broken: list[Broken] = []
+        self.calm = False
+        self.checked = True
+        self.seq = 0
+        self.term: _Term | None = None
+        self.terms: list[_Term] = []
+
+    @property
+    def now(self) -> float:
+        return self.loop.time()
+
+    async def elect(self) -> _Term:
+        self.store.epoch += 1
+        self.store.keys[LEADER_KEY] = ({}, self.store.epoch)
+        self.term = _Term(self, len(self.terms) + 1)
+        self.terms.append(self.term)
+        await self.term.start()
+        return self.term
+
+    async def deliver(self, everything: bool = False) -> None:
+        """What was held on the way arrives."""
+        due = [held for held in self.cloud.held if everything or held[0] <= self.now]
+        for held in due:
+            self.cloud.held.remove(held)
+            try:
+                held[1]()
+            except Broken as error:
+                self.broken.append(error)
+        if self.store.late and self.rng.random() < 0.5:
+            self.store.execute(*self.store.late.pop(self.rng.randrange(len(self.store.late))))
+
+    async def play(self, steps: int) -> None:
+        await self.elect()
+        for _ in range(steps):
+            await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+            await self.deliver()
+            assert self.term is not None
+            if self.rng.random() < 0.15:
+                for _ in range(self.rng.choice([1, 1, 1, 5])):  # five die on the way, in a row
+                    await self.elect()
+            for term in self.terms[-3:]:
+                if term is self.term or self.rng.random() < 0.3:
+                    term.wish()  # one that was replaced and does not know it wishes as before
+            self.term.act()
+            if self.broken:
+                raise self.broken[0]
+        await self.end()
+
+    async def end(self) -> None:
+        """All that is late arrives, the network is good, and one term has time to tidy up."""
+        self.calm = self.store.calm = True
+        while self.store.late:
+            self.store.execute(*self.store.late.pop())
+        await self.deliver(everything=True)
+        last = await self.elect()
+        for _ in range(60):
+            await asyncio.sleep(2.0)
+            last.act()
+            last.renter._take_list(self.cloud.listed(), Steady(self.now))
+        if self.broken:
+            raise self.broken[0]
+        alive = set(self.cloud.alive)
+        lost = alive - set(last.fleet.machines)
+        assert not lost, f"nobody accounts for {lost}"
+        idle = {m.id for m in last.fleet.machines.values() if m.releasing} & alive
+        assert not idle, f"{idle} were to go back"
+        left = [k for k in self.store.keys if k.startswith(CLOUD_PREFIX)]
+        assert not left, f"records that nobody needs: {left}"
+        assert last.intents.open == 0 and not last.intents._kept
+
+    def close(self) -> None:
+        for term in self.terms:
+            term.renter.close()
+            for task in term.tasks:
+                task.cancel()
+
+
+def _play(seed: int, steps: int = 40, checked: bool = True) -> World:
+    loop = JumpingLoop()
+    with pytest.MonkeyPatch.context() as patch:
+        for module in (rental, intents, keeper, budget):
+            patch.setattr(module, "steady_now", lambda: Steady(loop.time()))
+        patch.setattr(intents, "wall_now", lambda: Wall(loop.time()))
+        world = World(seed, loop)
+        world.checked = checked
+
+        async def run() -> None:
+            try:
+                await world.play(steps)
+            finally:
+                world.close()
+                await asyncio.sleep(0)
+
+        try:
+            loop.run_until_complete(run())
+        finally:
+            loop.close()
+    return world
+
+
+@settings(max_examples=30)
+@given(st.integers(0, 2**32))
+def test_who_was_replaced_does_no_harm(seed: int) -> None:
+    _play(seed)
+
+
+@settings(max_examples=10)
+@given(st.integers(0, 2**32))
+def test_even_one_that_never_looks_whether_it_still_holds_the_duty(seed: int) -> None:
+    """The look before sending saves calls; what keeps the claims is what was recorded."""
+    _play(seed, checked=False)
+
+
+def _found(seeds: int = 80, checked: bool = True) -> str:
+    """The claim that did not hold first."""
+    for seed in range(seeds):
+        try:
+            _play(seed, checked=checked)
+        except AssertionError as error:
+            return str(error)
+    return ""
+
+
+def _not_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Returns are asked for as soon as their record is on its way."""
+    want = Intents._want
+
+    async def at_once(self: Intents, key: str, value: dict[str, Any]) -> None:
+        task = asyncio.ensure_future(want(self, key, value))
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(Intents, "_want", at_once)
+
+
+def _not_fenced(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Fence, "guards", lambda self, others: dict(others))
+
+
+def _returns_not_taken_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    read = Intents.read
+
+    def without(self: Intents, entries: Any) -> list[str]:
+        return read(self, [e for e in entries if "/return/" not in e.key])
+
+    monkeypatch.setattr(Intents, "read", without)
+
+
+def _rentals_not_taken_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Renter, "inherit", lambda self, entries, now, wall: None)
+
+
+@pytest.mark.parametrize(
+    "without",
+    [_not_waiting, _not_fenced, _returns_not_taken_over, _rentals_not_taken_over],
+)
+def test_each_clause_is_needed(monkeypatch: pytest.MonkeyPatch, without: Any) -> None:
+    without(monkeypatch)
+    assert "ended work of term" in _found(checked=False)
+
+
+# -- one by one -----------------------------------------------------------------------------------
+
+
+def test_nothing_leaves_once_the_duty_may_be_over() -> None:
+    """After every wait: for its releases, for its record, for the budget, for a connection."""
+    held = Duty("renting", Token(3), Steady(0.0), lambda: False)
+    with pytest.raises(Replaced):
+        held.check()
+
+    async def scenario() -> None:
+        cloud = Cloud("127.0.0.1:9", 100.0, 1)
+        sent: list[str] = []
+
+        async def request(
+            method: str, path: str, body: bytes, timeout_s: float, check: Any
+        ) -> None:
+            check()
+            sent.append(path)
+
+        cloud._http.request = request  # type: ignore[method-assign, assignment]
+        with pytest.raises(Replaced):
+            await cloud.rent("tr-3-1", *_KIND, 5, held.check)
+        with pytest.raises(Replaced):
+            await cloud.release([MachineId("m-1")], held.check)
+        assert not sent
+
+    asyncio.run(scenario())
+
+
+def _open(value_kb: float = 8.0) -> tuple[Intents, list[Joined]]:
+    joined: list[Joined] = []
+    return Intents(
+        joined.append, Token(3), value_kb, lambda: Wall(5.0), lambda: Steady(0.0)
+    ), joined
+
+
+def test_a_successor_goes_on_with_what_is_open() -> None:
+    async def scenario() -> None:
+        first, joined = _open()
+        renting = asyncio.create_task(first.rent("tr-3-1", Rental(*_KIND, 2)))
+        waiting = asyncio.create_task(first.rent("tr-3-2", Rental(*_KIND, 9)))
+        back = asyncio.create_task(first.give_back([MachineId("m-7"), MachineId("m-8")]))
+        await asyncio.sleep(0)
+        assert not renting.done() and not back.done() and not first.rents and not first.returns
+        records = {}
+        for number, change in enumerate(list(joined)):
+            assert change.guards == {change.changes[0]["set"]: ABSENT}
+            records[change.changes[0]["set"]] = (change.changes[0]["value"], number + 1)
+            change.applied(Revision(number + 1))
+        await asyncio.gather(renting, waiting, back)
+        first.granted("tr-3-1", ["m-1", "m-2"])
+        last = joined[-1]
+        records[last.changes[0]["set"]] = (last.changes[0]["value"], 9)
+        second, _ = _open()
+        entries = [wire.Entry(key=k, value=v, version=n) for k, (v, n) in records.items()]
+        assert second.read(entries) == ["tr-3-1", "tr-3-2"]
+        assert second.rents["tr-3-1"].names == ["m-1", "m-2"]
+        assert second.rents["tr-3-2"].names is None and second.rents["tr-3-2"].count == 9
+        assert list(second.returns.values()) == [("m-7", "m-8")]
+        fleet = Fleet(Book(8.0), Token(4), steady_now(), 8.0)
+        cloud = cast(Cloud, None)
+        holds = [Duty(n, Token(4), Steady(0.0), lambda: True) for n in ("a", "b")]
+        renter = Renter(cloud, fleet, Token(4), 2.0, second, *holds)
+        renter._finish = lambda request: asyncio.sleep(0)  # type: ignore[method-assign]
+        renter.inherit([], steady_now(), Wall(5.0))
+        assert set(fleet.machines) == {"m-7", "m-8"}
+        assert all(m.releasing and m.returned for m in fleet.machines.values())
+
+    asyncio.run(scenario())
+
+
+def test_records_fit_their_values_and_their_number_is_bounded() -> None:
+    """A fall of hundreds, within 4 KiB a value."""
+
+    async def scenario() -> None:
+        found, joined = _open(4.0)
+        names = [MachineId(f"m-{'x' * 56}{n:06d}") for n in range(300)]
+        left = list(names)
+        while left:
+            task = asyncio.create_task(found.give_back(left))
+            await asyncio.sleep(0)
+            assert len(wire.encode(joined[-1].changes[0]["value"])) <= 4096
+            joined[-1].applied(Revision(1))
+            _, part = await task
+            left = left[len(part) :]
+        assert [name for part in found.returns.values() for name in part] == names
+        assert len(found.returns) <= 6
+        rent = asyncio.create_task(found.rent("tr-3-1", Rental(*_KIND, 50)))
+        await asyncio.sleep(0)
+        joined[-1].applied(Revision(1))
+        await rent
+        found.granted("tr-3-1", list(map(str, names[:80])))
+        assert len(wire.encode(joined[-1].changes[0]["value"])) <= 4096
+        assert not found.full
+        found._kept.update({f"k{n}": cast(Any, None) for n in range(intents.MOST_OPEN)})
+        assert found.full
+
+    asyncio.run(scenario())
+
+
+def test_a_record_of_a_later_version_is_left_alone() -> None:
+    found, _ = _open()
+    later = {"v": 2, "names": ["m-1"], "at": 0.0, "more": True}
+    good = wire.plain(ReturnRecord(["m-2"], 1.0))
+    entries = [
+        wire.Entry(key=CLOUD_PREFIX + "return/1.1", value=later, version=1),
+        wire.Entry(key=CLOUD_PREFIX + "return/1.2", value=good, version=2),
+        wire.Entry(key=CLOUD_PREFIX + "other", value={"v": 1}, version=3),
+    ]
+    assert found.read(entries) == []
+    assert list(found.returns) == [CLOUD_PREFIX + "return/1.2"]
+
+
+@given(
+    st.builds(
+        RentRecord,
+        type=st.text(max_size=20),
+        zone=st.text(max_size=20),
+        spot=st.booleans(),
+        count=st.integers(1, 50),
+        at=st.floats(0, 1e10),
+        names=st.none() | st.lists(st.text(max_size=64), max_size=50),
+    )
+    | st.builds(ReturnRecord, names=st.lists(st.text(max_size=64)), at=st.floats(0, 1e10))
+)
+def test_records_come_back_as_they_were(record: RentRecord | ReturnRecord) -> None:
+    again = wire.decode(wire.encode(wire.plain(record)), dict[str, Any])
+    assert msgspec.convert(again, type(record)) == record
+
+
+def test_rentals_go_before_bindings_once_they_have_waited() -> None:
+    """A fall's bindings use every change for seconds, and its replacements boot meanwhile."""
+    store = Store(random.Random(1), True)
+    book = Book(8.0)
+    mine = Leadership(Token(1), Revision(1), LeaseId(1), Steady(0.0), Steady(9.0))
+    found = Keeper(cast(StateClient, store), book, mine, 3, lambda _: None, lambda _: None)
+    from tests.samples import spec
+
+    for number in range(5):
+        job = book.add(spec(id=f"wk-{number:06d}"), Wall(0.0), Revision(1))
+        book.bind(job, 0, MachineId("m-1"), cast(Any, 1), "north", False, Wall(0.0), Steady(0.0))
+    put = wire.put("cloud/rent/tr-1-1", {})
+    rent = Joined({"cloud/rent/tr-1-1": ABSENT}, [put], lambda _: None, lambda _: None, Steady(1.0))
+    found.join(rent)
+    early = [c.get("set", "") for c in found._gather(Steady(0.5)).changes]
+    late = [c.get("set", "") for c in found._gather(Steady(1.0)).changes]
+    assert all(key.startswith("run/") for key in early) and len(early) == 3
+    assert late[0] == "cloud/rent/tr-1-1" and len(late) == 3
+    assert duty.LEADER_KEY in found._fence.guards({})
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -28,7 +28,7 @@
 from tealrill.scheduler.silence import Verdict
 from tealrill.state.book import Book
 from tealrill.types import MachineId, Revision, Steady, Token, Wall
-from tests.samples import SETTINGS, spec
+from tests.samples import SETTINGS, recorded_at_once, spec
 
 _BOOT_S, _LEASE_S, _RUN_S = 12, 8.0, 15
 _PLACES = 20
@@ -63,7 +63,9 @@
     """Grants at once as long as it has places; dead machines hold theirs until released."""
 
     def __init__(self, world: _World) -> None:
-        super().__init__(cast(Cloud, None), world.fleet, Token(world.term), 1.0)
+        super().__init__(
+            cast(Cloud, None), world.fleet, Token(world.term), 1.0, *recorded_at_once()
+        )
         self._world = world
 
     def rent(self, rental: Rental, now: Steady) -> None:
--- a/tests/test_graphs_records.py
+++ b/tests/test_graphs_records.py
@@ -32,7 +32,8 @@
 from tealrill.state.book import Binding, Book
 from tealrill.state.budget import Rank
 from tealrill.state.client import Committed, Failed, StateClient
-from tealrill.state.election import LEADER_KEY, Election, Leadership
+from tealrill.state.duty import LEADER_KEY
+from tealrill.state.election import Election, Leadership
 from tealrill.state.intake import Intake, Reply
 from tealrill.state.keeper import Deposed, Keeper
 from tealrill.types import (
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -24,7 +24,8 @@
 from tealrill.scheduler.estimates import Estimates
 from tealrill.state.book import job_key
 from tealrill.state.client import StateClient
-from tealrill.state.election import LEADER_KEY, Election, Leadership
+from tealrill.state.duty import LEADER_KEY
+from tealrill.state.election import Election, Leadership
 from tealrill.types import LeaseId, MachineId, Revision, Steady, Token, steady_now, wall_now
 from tests.samples import SETTINGS, report, spec
 from tests.test_dispatch import _TYPE
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -5,6 +5,7 @@
 import asyncio
 import copy
 import socket
+from collections.abc import Callable
 from typing import Any, cast
 
 import orjson
@@ -27,7 +28,7 @@
 from tealrill.state.book import Book
 from tealrill.state.truce import PING_PATH
 from tealrill.types import MachineId, Steady, Token, Wall
-from tests.samples import SETTINGS, report
+from tests.samples import SETTINGS, recorded_at_once, report
 from tests.standins import Worker
 from tests.test_node import World
 
@@ -260,7 +261,16 @@
         self.answers = answers
         self.asked: list[int] = []
 
-    async def rent(self, name: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
+    async def rent(
+        self,
+        name: str,
+        type_name: str,
+        zone: str,
+        spot: bool,
+        count: int,
+        check: Callable[[], None],
+    ) -> list[str]:
+        check()
         self.asked.append(count)
         answer = self.answers.pop(0)
         if answer is None:
@@ -271,7 +281,8 @@
 def _renter(answers: list[list[str] | None]) -> tuple[Renter, _Cloud, Fleet]:
     fleet = Fleet(Book(8.0), Token(1), Steady(0.0), 8.0)
     cloud = _Cloud(answers)
-    return Renter(cast(Cloud, cloud), fleet, Token(1), 2.0), cloud, fleet
+    renter = Renter(cast(Cloud, cloud), fleet, Token(1), 2.0, *recorded_at_once())
+    return renter, cloud, fleet
 
 
 def test_a_large_wish_goes_out_in_the_fewest_requests() -> None:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -22,7 +22,8 @@
 from tealrill.state.book import Book, job_key
 from tealrill.state.budget import Budget, Rank
 from tealrill.state.client import Busy, Committed, Failed, Refused, StateClient, Unknown
-from tealrill.state.election import LEADER_KEY, Leadership
+from tealrill.state.duty import LEADER_KEY
+from tealrill.state.election import Leadership
 from tealrill.state.intake import Intake, Reply
 from tealrill.state.keeper import Keeper
 from tealrill.types import (
--- a/tests/test_truce.py
+++ b/tests/test_truce.py
@@ -13,7 +13,8 @@
 from tealrill.http import NoAnswer
 from tealrill.state import election as election_module
 from tealrill.state.client import Committed, Failed, Refused, StateClient, Unknown
-from tealrill.state.election import LEADER_KEY, TERM_KEY, Election, KnownLeader, Leadership
+from tealrill.state.duty import LEADER_KEY
+from tealrill.state.election import TERM_KEY, Election, KnownLeader, Leadership
 from tealrill.state.truce import PROMISE_S, Answer, Presence, Request, Truce
 from tealrill.types import LeaseId, Revision, Steady, Token
 from tests.samples import SETTINGS
