A large fleet's work counted: reports, ends one by one, silence, losses; docs of duties

1,200 machines and 30,000 tasks: a report that changes nothing makes no view and goes through no list; a job's ends cost a view and a line each; 600 silent machines cost 600 looks; 2,000 lost tasks of four jobs cost four.

--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tealrill.fleet.dispatch import Dispatcher
+from tealrill.fleet.machines import Fleet
 from tealrill.scheduler import capacity, preemption, reservation
 from tealrill.scheduler import plan as planner
 from tealrill.scheduler.capacity import Offer, Rooms, rentals
@@ -25,9 +28,10 @@
     View,
 )
 from tealrill.scheduler.plan import plan
-from tealrill.types import Steady
+from tealrill.types import MachineId, Revision, Steady, Wall
 from tests import plain
-from tests.samples import job_view, machine_view, running_task
+from tests.samples import job_view, machine_view, report, running_task, spec
+from tests.test_dispatch import _dispatcher
 
 NOW = Steady(1000.0)
 
@@ -289,3 +293,112 @@
     result = plan(View([*machines, *filled], [head], {}), NOW, Policy())
     assert result.stops
     assert len(looked) <= 16 * 3 * 5
+
+
+# -- a large fleet in the leader's memory --------------------------------------------------------
+
+
+class _Large:
+    """1,200 machines of 32 processors that are heard, with tasks of a few jobs on them."""
+
+    def __init__(self, tasks: int) -> None:
+        self.dispatcher, self.fleet, self.book, self.renter = _dispatcher()
+        self.now = 100.0
+        self.seq = 0
+        self.names = [MachineId(f"m-{n:06d}") for n in range(1200)]
+        for name in self.names:
+            self.beat(name)
+        self.jobs = [
+            self.book.add(
+                spec(id=f"wk-{n:06d}", pieces=1200, vcpus=32.0 / tasks, memoryGb=0.1),
+                Wall(0.0),
+                Revision(1),
+            )
+            for n in range(tasks)
+        ]
+        for job in self.jobs:
+            for name in self.names:
+                machine = self.fleet.machines[name]
+                bound = self.fleet.bind(job, machine, False, Wall(0.0), Steady(self.now))
+                assert bound is not None
+        for name in self.names:
+            self.beat(name)
+        self.survey()
+
+    def beat(self, name: MachineId, ended: str = "") -> None:
+        self.seq += 1
+        machine = self.fleet.machines.get(name)
+        bound = machine.bindings.values() if machine is not None else ()
+        lines: list[tuple[str, int, str, str | None]] = [
+            (str(b.task), int(b.attempt), *(("ended", "done") if str(b.task) == ended else _RUNS))
+            for b in bound
+        ]
+        heard = report(name, 1, self.seq, 1, lines)
+        heard = msgspec.structs.replace(heard, type="huge")
+        self.fleet.report(heard, name, Steady(self.now), Wall(self.now))
+
+    def survey(self) -> list[MachineView]:
+        return self.dispatcher._survey(Steady(self.now))[0]
+
+
+_RUNS: tuple[str, str | None] = ("running", None)
+
+
+def test_of_a_large_fleet_one_report_that_changes_nothing_costs_itself(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """1,200 machines, 30,000 running tasks."""
+    world = _Large(25)
+    lists = _counted(monkeypatch, Fleet, "_take_list", lambda *_, **__: 1)
+    fresh = _counted(monkeypatch, Dispatcher, "_fresh", lambda *_: 1)
+    asked = _counted(monkeypatch, Dispatcher, "_machine", lambda *_: 1)
+    world.beat(world.names[7])
+    assert len(world.survey()) == 1200
+    assert not lists and not fresh and not asked
+
+
+def test_a_job_that_ends_task_by_task_costs_a_view_a_task(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = _Large(4)
+    fresh = _counted(monkeypatch, Dispatcher, "_fresh", lambda *_: 1)
+    taken = _counted(monkeypatch, Fleet, "_progress", lambda *_: 1)
+    for name in world.names[:200]:
+        ended = next(iter(world.fleet.machines[name].named))
+        world.beat(name, ended)
+        world.survey()
+    assert len(fresh) == 200 and len(taken) == 200
+    assert sum(job.done_count for job in world.jobs) == 200
+
+
+def test_a_wave_of_silent_machines_costs_those_that_are_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """600 of 1,200 fall silent and come back."""
+    world = _Large(4)
+    world.now += 6.0
+    for name in world.names[:600]:
+        world.beat(name)
+    asked = _counted(monkeypatch, Dispatcher, "_machine", lambda *_: 1)
+    fresh = _counted(monkeypatch, Dispatcher, "_fresh", lambda *_: 1)
+    assert len(world.survey()) == 600
+    assert len(asked) == 600 and not fresh
+    for name in world.names[600:]:
+        world.beat(name)
+    asked.clear()
+    assert len(world.survey()) == 1200 and not asked and not fresh
+
+
+def test_lost_tasks_are_looked_at_by_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """2,000 tasks of four jobs lapse with 500 machines, and are placed again in one pass."""
+    world = _Large(4)
+    gone = world.names[:500]
+    world.now += 9.0
+    for name in world.names[500:]:
+        world.beat(name)
+    world.fleet.check_silence(Steady(world.now))
+    assert all(world.fleet.machines[name].lapsed for name in gone)
+    assert sum(job.waiting for job in world.jobs) == 2000
+    looks = _counted(monkeypatch, planner._Pass, "_candidates", lambda *_: 1)
+    world.dispatcher.run(Steady(world.now), Wall(world.now))
+    assert len(looks) == 4
