--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -27,6 +27,7 @@
 
 log = logging.getLogger(__name__)
 
+_FAILED: Final = wire.MACHINE_FAILED
 _RETRY_S: Final = 1.0
 _RETURNS_EVERY_S: Final = 0.25
 _RELEASES_FIRST_S: Final = 2.0
@@ -328,9 +329,19 @@
         return keys, names
 
     def _freed(self, machine: Machine | None) -> None:
-        """A machine has gone: the cloud may have places of its kind again."""
-        if machine is not None and machine.type:
+        """A machine has gone: the cloud may have places of its kind again.
+
+        Of those that died it surely has, and they are wanted back. One that was given back since it
+        had nothing to do only shortens a refusal: where every such return ended it, cheap kinds
+        were asked for again and again before the dear ones that there were (a busy and a calm day
+        with 0.02 and 0.03 less).
+        """
+        if machine is None or not machine.type:
+            return
+        if machine.lapsed or machine.misses or machine.unlisted or machine.listed == _FAILED:
             self.refusals.freed(machine.kind)
+        else:
+            self.refusals.hopeful(machine.kind)
 
     # -- the list and the catalogue -------------------------------------------------------------
 
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -362,3 +362,21 @@
     renter.take_catalogue(wire.decode(b'{"builds":[]}', wire.Catalogue))
     renter._take_list([line, line], Steady(100.0))
     assert set(fleet.machines) == {"m-1"} and not fleet.machines[MachineId("m-1")].releasing
+
+
+def test_an_idle_machine_that_goes_back_does_not_end_a_refusal() -> None:
+    """Only those that died leave places for sure; the others once had cheap kinds asked for again
+    and again while dear ones were to be had."""
+    renter, _, fleet = _renter([])
+    kind = ("big", "north", False)
+    for name in ("m-1", "m-2"):
+        fleet.report(report(name, 1, 1, 1), MachineId(name), Steady(0.0), Wall(0.0))
+    idle, dead = (fleet.machines[MachineId(name)] for name in ("m-1", "m-2"))
+    renter.refusals.answered(kind, 1, 0, Steady(0.0))
+    renter._freed(idle)
+    assert renter.refusals.refused(kind, Steady(4.0))
+    assert not renter.refusals.refused(kind, Steady(5.5))
+    renter.refusals.answered(kind, 1, 0, Steady(5.5))
+    dead.misses = 2
+    renter._freed(dead)
+    assert not renter.refusals.refused(kind, Steady(5.6))
