A leader that is told to stop hands its duties over

A controller that was stopped on purpose left its lease to run out and its last bindings unwritten. On SIGTERM a leader begins nothing new, waits up to a second until what it began is written and told, leaves open requests recorded, and gives up the lease. A node stopped in the moment in which its leadership ended took its own cancellation for the term's and went on for ever: mended.

--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
+import signal
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -42,6 +44,9 @@
 """New objects, and younger collections, before each generation is looked through."""
 _CATALOGUE_RETRY_S: Final = 2.0
 _CATALOGUE_EVERY_S: Final = 300.0
+_HAND_OVER_S: Final = 1.0
+"""What is under way is waited for so long; the lease is three times that."""
+_HAND_OVER_LOOK_S: Final = 0.02
 _RESIGN_PAUSE_S: Final = 10.0
 _SILENT_REPORTS: Final = 4.0
 _TERM_CHECK_S: Final = 0.5
@@ -188,13 +193,13 @@
 
     async def _end_term(self, term: asyncio.Task[None]) -> None:
         term.cancel()
-        try:
-            await term
-        except asyncio.CancelledError:
-            pass
-        except Exception:
+        # Awaited itself, its cancellation could not be told from that of this node: a node that was
+        # stopped right after its leadership ended went on for ever.
+        await asyncio.wait({term})
+        error = None if term.cancelled() else term.exception()
+        if error is not None:
             # Another node, or this one in a new term, starts again from the records.
-            log.exception("the term ended by an error")
+            log.error("the term ended by an error", exc_info=error)
             await self.election.resign("an error ended the term", 1.0)
 
     async def _fetch_catalogue(self) -> None:
@@ -272,6 +277,21 @@
             ):
                 await self.election.resign("workers report to others only", _RESIGN_PAUSE_S)
 
+    async def hand_over(self, why: str) -> None:
+        """Gives up leading in good order: what was begun is written, the rest is left recorded.
+
+        The next leader starts as soon as the lease's end is seen, instead of a lease later. A node
+        that does not lead has nothing to hand over.
+        """
+        leader = self.leader
+        if leader is None or self.election.mine is None:
+            return
+        leader.wind_up()
+        until = steady_now() + _HAND_OVER_S
+        while leader.under_way and steady_now() < until and self.election.mine is not None:
+            await asyncio.sleep(_HAND_OVER_LOOK_S)
+        await self.election.resign(why, _RESIGN_PAUSE_S)
+
     def _cancelled_elsewhere(self, job: str) -> None:
         if self.leader is not None:
             self.leader.job_cancelled(job)
@@ -352,7 +372,24 @@
         asyncio.run(_profiled(settings, features))
     else:
         with asyncio.Runner(loop_factory=new_loop) as runner:
-            runner.run(Node(settings, features).run())
+            runner.run(run_until_told(Node(settings, features)))
+
+
+async def run_until_told(node: Node) -> None:
+    """Runs the node until it fails or is told to stop (SIGTERM), and then hands its duties over."""
+    told = asyncio.Event()
+    # Where signals can't be taken, the process is killed as before.
+    with contextlib.suppress(NotImplementedError, RuntimeError, ValueError, OSError):
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, told.set)
+    running = asyncio.create_task(node.run())
+    waiting = asyncio.create_task(told.wait())
+    await asyncio.wait({running, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if not running.done():
+        await node.hand_over("this node is told to stop")
+        running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
 
 
 async def _profiled(settings: Settings, features: Features) -> None:
--- a/tealrill/fleet/intents.py
+++ b/tealrill/fleet/intents.py
@@ -110,6 +110,8 @@
         self._now = now
         self._kept: dict[str, _Kept] = {}
         self._returns = 0
+        self.closed = False
+        """Nothing new is taken up: the duties are being handed over."""
         self.rents: dict[str, RentRecord] = {}
         """Open rentals by their request names."""
         self.returns: dict[str, tuple[MachineId, ...]] = {}
@@ -118,7 +120,7 @@
     @property
     def full(self) -> bool:
         """No more is taken up until something is over."""
-        return len(self._kept) >= MOST_OPEN
+        return self.closed or len(self._kept) >= MOST_OPEN
 
     @property
     def open(self) -> int:
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -174,6 +174,9 @@
         kind = rental.kind
         if not recorded:
             await self._releases_first()
+            if self.intents.closed:
+                del self.requests[request.name]
+                return 0
             await self.intents.rent(request.name, rental)
         while True:
             try:
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -150,6 +150,7 @@
             self.keeper.tasks_done = self._tasks_done
             self.keeper.owner_gone = self._owner_gone
         self._wake = asyncio.Event()
+        self._winding_up = False
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
         self._lines = Lines(params.quota.fd_limit, lambda: len(self.fleet.machines))
         self.fleet.dropped = self._lines.drop
@@ -187,6 +188,20 @@
             task.cancel()
         self._lines.close()
 
+    def wind_up(self) -> None:
+        """Begins nothing new, because the duties are about to be handed over."""
+        self._winding_up = True
+        self.intents.closed = True
+        self.keeper.wake()
+
+    @property
+    def under_way(self) -> bool:
+        """Whether something that was begun is still to be written or told.
+
+        Requests to the cloud are not waited for: they are recorded, and the next leader goes on.
+        """
+        return bool(self._orders or self.book.urgent or self.book.ending or self.keeper.under_way)
+
     def wake(self) -> None:
         """Something happened that may change what a pass decides."""
         self._wake.set()
@@ -425,7 +440,7 @@
         while True:
             self._wake.clear()
             began = steady_now()
-            if self._valid():
+            if self._valid() and not self._winding_up:
                 self.dispatcher.run(began, wall_now())
                 self.keeper.wake()
             gap_s = pass_gap_s(steady_now() - began)
--- a/tealrill/state/keeper.py
+++ b/tealrill/state/keeper.py
@@ -99,6 +99,8 @@
         self._committed = committed
         self._job_over = job_over
         self._wake = asyncio.Event()
+        self.under_way = False
+        """A transaction has been sent and not been answered."""
         self.joined: dict[Joined, None] = {}
         """What subsystems have to write; it goes behind ends and new bindings."""
         self.tasks_done: Callable[[Job, list[int]], None] = lambda _, __: None
@@ -118,6 +120,7 @@
         """Ends with `Deposed`."""
         while True:
             batch = self._gather(steady_now())
+            self.under_way = bool(batch.changes)
             if batch.changes:
                 await self._commit(batch)
                 continue
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 import copy
+import signal
 from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import orjson
 import pytest
@@ -16,8 +17,9 @@
 
 from tealrill import features, settings
 from tealrill.cli import main
-from tealrill.controller import Node, new_loop
+from tealrill.controller import Node, new_loop, run_until_told
 from tealrill.http import Answer, Client
+from tealrill.types import LeaseId
 from tests.samples import SETTINGS, SUBMISSION
 from tests.standins import Cloud, State, Worker
 
@@ -279,3 +281,53 @@
         assert world.cloud.calls - cloud <= 2 + passed_s
 
     _in_a_world(scenario)
+
+
+def test_a_leader_that_is_told_to_stop_leaves_nothing_half_done() -> None:
+    """Killed instead, it would leave its lease to run out, and its last bindings unwritten."""
+
+    async def scenario(world: World) -> None:
+        assert await world.submit(pieces=2) == 201
+        worker = Worker("m-000001")
+        await world.beat_until(worker, lambda: len(worker.tasks) == 2)
+        assert await world.submit(id="wk-000777", pieces=2) == 201
+        leader = world.node.leader
+        assert leader is not None
+        ended: list[int] = []
+        end_lease = world.node._client.end_lease
+
+        async def counted(lease: LeaseId) -> None:
+            # Only now: until the lease is given up, nobody else writes these records.
+            assert not leader.under_way
+            ended.append(lease)
+            await end_lease(lease)
+
+        world.node._client.end_lease = counted  # type: ignore[method-assign]
+        await world.node.hand_over("the test says so")
+        assert len(ended) == 1 and world.node.election.mine is None
+        assert leader.intents.full, "nothing new is asked for"
+        for job in leader.book.jobs.values():
+            assert all(chunk.committed == chunk.version for chunk in job.chunks.values())
+        # One that does not lead has nothing to hand over.
+        await world.node.hand_over("once more")
+        assert len(ended) == 1
+
+    _in_a_world(scenario)
+
+
+def test_a_node_that_is_told_to_stop_ends() -> None:
+    async def run() -> None:
+        world = World()
+        task = asyncio.create_task(run_until_told(world.node))
+        world.task = cast(Any, task)
+        await world.until_it_leads()
+        signal.raise_signal(signal.SIGTERM)
+        async with asyncio.timeout(_PATIENCE_S):
+            await task
+        assert world.node.election.mine is None
+        for server in world.node.servers:
+            server.stop()
+            await server.close_all_connections()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(run())
