--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -162,12 +162,12 @@
         entries, _ = await self.world.store.scan(CLOUD_PREFIX)
         self.fleet.inherit([], Steady(self.world.now))
         self.renter.inherit(entries, Steady(self.world.now), Wall(self.world.now))
-        loops = (self.keeper.run(), self.renter.run_returns(), self.renter.run_releases())
+        loops = (self.keeper.run, self.renter.run_returns, self.renter.run_releases)
         self.tasks = [asyncio.create_task(self._ends(loop)) for loop in loops]
 
     async def _ends(self, loop: Any) -> None:
         try:
-            await loop
+            await loop()
         except Deposed:
             pass
         except Broken as error:
@@ -294,7 +294,10 @@
                 await world.play(steps)
             finally:
                 world.close()
-                await asyncio.sleep(0)
+                others = asyncio.all_tasks() - {asyncio.current_task()}
+                for task in others:
+                    task.cancel()
+                await asyncio.gather(*others, return_exceptions=True)
 
         try:
             loop.run_until_complete(run())
