Read once more: one loop that lays tasks, one way to begin a request, one word for ranks

Behaviour is unchanged. Two loops laid tasks on rooms, one by a table and one without; they are one. A task's parts of the kinds of machine are a list worked out once, instead of a class that remembered them twice. A rental taken over asks by its own method instead of a flag, and requests begin in one place. What goes to the cloud can't be asked for without a check any more: there was a default that checked nothing, and nobody used it. Budgets speak of ranks everywhere, where half of them still said urgent or not. The last step of a reservation is shared with the plain planner, which compares the steps before it.

--- a/tealrill/fleet/cloud.py
+++ b/tealrill/fleet/cloud.py
@@ -20,10 +20,6 @@
 MOST_RENTED = 50
 
 
-def _anybody() -> None:
-    """What any node may ask."""
-
-
 class CloudError(Exception):
     """The request brought no result; it may have taken effect or may yet."""
 
@@ -76,7 +72,7 @@
         zone: str,
         spot: bool,
         count: int,
-        check: Callable[[], None] = _anybody,
+        check: Callable[[], None],
     ) -> list[str]:
         """The machines rented under this request name; raises `NoCapacity` or `CloudError`.
 
@@ -94,9 +90,7 @@
             raise NoCapacity
         return self._read(answer, wire.Rented).machines
 
-    async def release(
-        self, machines: Sequence[MachineId], check: Callable[[], None] = _anybody
-    ) -> None:
+    async def release(self, machines: Sequence[MachineId], check: Callable[[], None]) -> None:
         """Returns when the machines and everything on them are gone; raises `CloudError`.
 
         `check` as in `rent`.
@@ -112,7 +106,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
-        check: Callable[[], None] = _anybody,
+        check: Callable[[], None] | None = None,
     ) -> Answer:
         try:
             return await self._http.request(method, path, body, _TIMEOUT_S, check)
--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -134,8 +134,8 @@
     def _survey(self, now: Steady) -> tuple[list[MachineView], list[Machine]]:
         """One look at every machine: those that placement may count on, and the silent ones.
 
-        A machine that is heard and all right is told from its own fields, without a call: of
-        hundreds hardly any is not, and this is asked in every pass.
+        A machine that is heard and all right is told from its own fields: of hundreds hardly any is
+        not, and this is asked in every pass.
         """
         views: list[MachineView] = []
         silent: list[Machine] = []
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -12,9 +12,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from tealrill import wire
 from tealrill.fleet.cloud import MOST_RELEASED, MOST_RENTED, Cloud, CloudError, NoCapacity
@@ -27,7 +27,6 @@
 
 log = logging.getLogger(__name__)
 
-_FAILED: Final = wire.MACHINE_FAILED
 _RETRY_S: Final = 1.0
 _RECORD_LOOK_S: Final = 0.5
 _RETURNS_EVERY_S: Final = 0.25
@@ -70,7 +69,7 @@
         self._names = 0
         self.requests: dict[str, Request] = {}
         self.refusals = Refusals()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
         self.catalogue: wire.Catalogue | None = None
         self.offers: list[Offer] = []
         """Every kind of machine in the catalogue."""
@@ -139,9 +138,14 @@
             name = f"tr-{self._term}-{self._names}"
             parts.append(Request(name, Rental(*kind, count), now))
         self.requests.update((part.name, part) for part in parts)
-        task = asyncio.create_task(self._rent_parts(parts))
+        self._begin(self._rent_parts(parts))
+
+    def _begin(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Goes on beside the others until it is done, or the term is over."""
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def asked_for(self, kind: Kind) -> bool:
         """Whether a request for this kind has not been answered yet."""
@@ -169,16 +173,19 @@
         while steady_now() < until and any(m.releasing for m in self._fleet.machines.values()):
             await asyncio.sleep(0.1)
 
-    async def _rent(self, request: Request, recorded: bool = False) -> int:
-        """How many were rented."""
+    async def _rent(self, request: Request) -> int:
+        """Records a rental and asks for it; how many were rented."""
+        await self._releases_first()
+        if self.intents.closed:
+            del self.requests[request.name]
+            return 0
+        await self._record(request)
+        return await self._ask(request)
+
+    async def _ask(self, request: Request) -> int:
+        """Asks until there is an answer; how many were rented."""
         rental = request.rental
         kind = rental.kind
-        if not recorded:
-            await self._releases_first()
-            if self.intents.closed:
-                del self.requests[request.name]
-                return 0
-            await self._record(request)
         while True:
             try:
                 names = await self._cloud.rent(
@@ -228,9 +235,7 @@
         for the end of the outage (104 machines that were taken just before one of 25 s once did);
         the record follows. If this leader is lost before, the list shows what it rented.
         """
-        recorded = asyncio.create_task(self.intents.rent(request.name, request.rental))
-        self._tasks.add(recorded)
-        recorded.add_done_callback(self._tasks.discard)
+        recorded = self._begin(self.intents.rent(request.name, request.rental))
         while not recorded.done():
             await asyncio.wait({recorded}, timeout=_RECORD_LOOK_S)
             if self.renting.alone() and self.renting.valid():
@@ -278,9 +283,7 @@
                     self._rented(machine, rental, since)
                 continue
             request = self.requests[name] = Request(name, rental, since)
-            task = asyncio.create_task(self._finish(request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._ask(request))
         for names in self.intents.returns.values():
             for machine_id in names:
                 known = self._fleet.machines.get(machine_id)
@@ -296,9 +299,6 @@
                 len(self.intents.returns),
             )
 
-    async def _finish(self, request: Request) -> None:
-        await self._rent(request, recorded=True)
-
     # -- returning ------------------------------------------------------------------------------
 
     async def run_returns(self) -> None:
@@ -358,7 +358,12 @@
         """
         if machine is None or not machine.type:
             return
-        if machine.lapsed or machine.misses or machine.unlisted or machine.listed == _FAILED:
+        if (
+            machine.lapsed
+            or machine.misses
+            or machine.unlisted
+            or machine.listed == wire.MACHINE_FAILED
+        ):
             self.refusals.freed(machine.kind)
         else:
             self.refusals.hopeful(machine.kind)
--- a/tealrill/graphs/intake.py
+++ b/tealrill/graphs/intake.py
@@ -44,6 +44,7 @@
     job_key,
     over_key,
 )
+from tealrill.state.budget import Rank
 from tealrill.state.client import (
     Busy,
     Committed,
@@ -339,7 +340,7 @@
         self, guards: list[dict[str, Any]], changes: list[dict[str, Any]]
     ) -> Committed | Failed | None:
         """None if it is not known whether it was executed. Plain submissions go first."""
-        if not self._client.accepts.take_now(len(changes), urgent=False):
+        if not self._client.accepts.take_now(len(changes), Rank.LATER):
             raise Busy("too many submissions")
         try:
             return await self._client.commit(guards, changes, paid=True)
--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass
+from itertools import repeat
 from typing import Final
 
 from tealrill.scheduler.model import JobView, MachineView, Policy, ends_at
@@ -122,14 +123,23 @@
     can't serve a job costs one comparison.
     """
 
-    def __init__(self, least: dict[Kind, float | None], common: Container[Steady]) -> None:
-        """`least`: the least part of each kind of machine that any of the jobs takes, in
-        processors; None where none of them may run. `common`: moments that many jobs ask for.
+    def __init__(
+        self,
+        kinds: Sequence[Kind],
+        jobs: Sequence[Sequence[float | None]],
+        common: Container[Steady],
+    ) -> None:
+        """`kinds` of machines; `jobs`: of every job to be laid, its task's part of each of them, as
+        `_parts` gives it. `common`: moments that many jobs ask for.
         (Kept for the moments of single jobs as well, what rooms have to give by each cost more than
         it saved.)"""
         self._common = common
-        self._kinds = {kind: number for number, kind in enumerate(least)}
-        self._least = list(least.values())
+        self._kinds = {kind: number for number, kind in enumerate(kinds)}
+        self._least = [
+            min((part for part in of_kind if part is not None), default=None)
+            for of_kind in zip(*jobs, strict=True)
+        ]
+        """The least part that any of the jobs takes; None where none of them may run."""
         self._kind: list[int] = []
         self._free: list[Sequence[tuple[Steady, float]]] = []
         """Per room the processors that come free, and when."""
@@ -156,28 +166,24 @@
                 found.add(free, self._least[kind])
         return found
 
-    def parts(self, needs: _Needs) -> list[float | None]:
-        """A task's part of every kind of machine, as `lay` asks for it."""
-        return [needs.on(kind) for kind in self._kinds]
-
     def lay(
         self,
         job: JobView,
         most: int,
-        parts: list[float | None],
+        parts: Sequence[float | None],
         until: Steady,
         first: int = 0,
     ) -> int:
         """Lays up to `most` tasks of the job that can start by `until`; how many fitted.
 
-        Only rooms from the number `first` on. One processor may serve several tasks one after the
-        other.
+        `parts` has a task's part of every kind of machine, see `_parts`. Only rooms from the number
+        `first` on. One processor may serve several tasks one after the other.
         """
         run_s = max(_SHORTEST_S, job.estimate_s)
-        if until not in self._common:
-            return self._lay_once(run_s, most, parts, until, first)
-        horizon = self._horizon(until)
-        shortest = horizon.shortest_s if not first else horizon.shortest_s[first:]
+        horizon = self._horizon(until) if until in self._common else None
+        shortest: Iterable[float] = repeat(0.0, len(self._kind) - first)
+        if horizon is not None:
+            shortest = horizon.shortest_s[first:] if first else horizon.shortest_s
         left = most
         for number, shortest_s in enumerate(shortest, first):
             if shortest_s > run_s:
@@ -191,33 +197,15 @@
                 return most
             self.looks += 1
             used = self._used_cpu_s[number] / run_s
-            supply = horizon.cpus[number]
-            if horizon.longest_s[number] >= run_s:
-                if supply + horizon.cpu_s[number] / run_s - used + _ROUNDED < need:
-                    continue
+            if horizon is None:
                 supply = self._supply(number, run_s, until)
-            laid = min(left, int((supply - used + 1e-6) // need))
-            if laid > 0:
-                left -= laid
-                self._use(number, laid * need * run_s)
-        return most - left
-
-    def _lay_once(
-        self, run_s: float, most: int, parts: list[float | None], until: Steady, first: int
-    ) -> int:
-        """The same by a moment that is this job's own: room by room, as far as it takes."""
-        left = most
-        for number, kind in enumerate(self._kind[first:], first):
-            if left <= 0:
-                break
-            need = parts[kind]
-            if need is None:
+            elif horizon.longest_s[number] < run_s:
+                supply = horizon.cpus[number]
+            elif horizon.cpus[number] + horizon.cpu_s[number] / run_s - used + _ROUNDED < need:
                 continue
-            if need <= 0:
-                return most
-            self.looks += 1
-            supply = self._supply(number, run_s, until) - self._used_cpu_s[number] / run_s
-            laid = min(left, int((supply + 1e-6) // need))
+            else:
+                supply = self._supply(number, run_s, until)
+            laid = min(left, int((supply - used + 1e-6) // need))
             if laid > 0:
                 left -= laid
                 self._use(number, laid * need * run_s)
@@ -237,33 +225,21 @@
             horizon.used(number, self._used_cpu_s[number], self._least[self._kind[number]])
 
 
-class _Needs:
+def _parts(job: JobView, kinds: Iterable[Kind], sizes: dict[str, Offer]) -> list[float | None]:
     """A task's part of each kind of machine, in processors; None where it may not run.
 
-    Asked for every room, so it is worked out once for a kind.
+    Worked out once a type: it is the same in every zone, spot or not.
     """
-
-    def __init__(self, job: JobView, sizes: dict[str, Offer]) -> None:
-        self._job = job
-        self._sizes = sizes
-        self._parts: dict[str, float] = {}
-        self._known: dict[Kind, float | None] = {}
-
-    def on(self, kind: Kind) -> float | None:
-        if kind not in self._known:
-            self._known[kind] = self._part(kind[0]) if self._job.may_use(*kind) else None
-        return self._known[kind]
-
-    def _part(self, type_name: str) -> float:
-        part = self._parts.get(type_name)
-        if part is None:
-            part = self._parts[type_name] = _part(self._job, self._sizes[type_name])
-        return part
-
-
-def _least(needs: Iterable[_Needs], kind: Kind) -> float | None:
-    parts = [part for job in needs if (part := job.on(kind)) is not None]
-    return min(parts, default=None)
+    of_type: dict[str, float] = {}
+    found: list[float | None] = []
+    for kind in kinds:
+        if not job.may_use(*kind):
+            found.append(None)
+            continue
+        if kind[0] not in of_type:
+            of_type[kind[0]] = _part(job, sizes[kind[0]])
+        found.append(of_type[kind[0]])
+    return found
 
 
 def _part(job: JobView, size: Offer) -> float:
@@ -389,10 +365,10 @@
         return []
     sizes = {offer.type: offer for offer in catalogue}
     known = [m for m in machines if m.type in sizes]
-    kinds = {(m.type, m.zone, m.spot) for m in known} | {offer.kind for offer in catalogue}
-    all_needs = [_Needs(wish.job, sizes) for wish in wishes]
+    kinds = list({(m.type, m.zone, m.spot) for m in known} | {o.kind for o in catalogue})
+    all_parts = [_parts(wish.job, kinds, sizes) for wish in wishes]
     boots = {Steady(now + offer.boot_s) for offer in catalogue}
-    rooms = Rooms({kind: _least(all_needs, kind) for kind in kinds}, boots)
+    rooms = Rooms(kinds, all_parts, boots)
     for machine in known:
         rooms.add((machine.type, machine.zone, machine.spot), _free(machine, now))
     counts: dict[tuple[str, str], int] = {}
@@ -400,9 +376,8 @@
         where = (machine.type, machine.zone)
         counts[where] = counts.get(where, 0) + 1
     wanted: dict[Offer, int] = {}
-    for wish, needs in zip(wishes, all_needs, strict=True):
+    for wish, parts in zip(wishes, all_parts, strict=True):
         job = wish.job
-        parts = rooms.parts(needs)
         left = wish.waiting - rooms.lay(job, wish.waiting, parts, Steady(now + wish.wait_s))
         while left > 0:
             offer = _choose(left, wish.offers, counts)
--- a/tealrill/scheduler/reservation.py
+++ b/tealrill/scheduler/reservation.py
@@ -67,6 +67,10 @@
     return None
 
 
+RoomAt = tuple[Steady, int, MachineView, tuple[float, float, float]]
+"""When a room is there, its place among equals, its machine, and how much it is."""
+
+
 def slots(job: JobView, cpus: float, gpus: float, memory: float) -> int:
     """How many tasks of the job fit into a room."""
     count = job.tasks
@@ -88,7 +92,7 @@
     wanted = min(most, job.waiting)
     if wanted <= 0:
         return {}
-    found: list[tuple[Steady, int, MachineView, tuple[float, float, float]]] = []
+    found: list[RoomAt] = []
     latest: list[float] = []
     """The earliest moments so far, as many as there are tasks, the last of them on top."""
     by = Steady(math.inf)
@@ -105,19 +109,28 @@
             heapq.heappushpop(latest, -room[0])
         if len(latest) == wanted:
             by = Steady(-latest[0])
-    found.sort()
-    windows: dict[MachineView, Window] = {}
-    left = wanted
-    for at, _, machine, (cpus, gpus, memory) in found:
+    return windows(job, found, wanted)
+
+
+def windows(
+    job: JobView,
+    rooms: list[RoomAt],
+    most: int,
+) -> dict[MachineView, Window]:
+    """The earliest of the rooms, until `most` tasks have theirs."""
+    rooms.sort()
+    taken: dict[MachineView, Window] = {}
+    left = most
+    for at, _, machine, (cpus, gpus, memory) in rooms:
         if left <= 0:
             break
         tasks = min(left, slots(job, cpus, gpus, memory))
         left -= tasks
-        windows[machine] = Window(
+        taken[machine] = Window(
             at,
             tasks,
             cpus - tasks * job.cpus,
             gpus - tasks * job.gpus,
             memory - tasks * job.memory_gb,
         )
-    return windows
+    return taken
--- a/tealrill/state/budget.py
+++ b/tealrill/state/budget.py
@@ -56,9 +56,11 @@
     def burst(self) -> float:
         return max(1.0, self._depth if self._depth is not None else self._rate)
 
-    def available(self, urgent: bool = True) -> float:
+    def available(self, rank: Rank = Rank.FIRST) -> float:
+        """What one of this rank may take now."""
         self._refill()
-        return self._tokens if urgent else self._tokens - self.burst * self._KEPT_FOR_URGENT
+        kept = self.burst * self._KEPT_FOR_URGENT if rank is Rank.LATER else 0.0
+        return self._tokens - kept
 
     def spend(self, amount: float) -> None:
         """Takes tokens that `available` has shown."""
@@ -67,12 +69,12 @@
     def wait_s(self, rank: Rank) -> float:
         """About how long one who comes now waits behind those who wait before it, in seconds."""
         ahead = sum(len(line) for of, line in self._lines.items() if of <= rank)
-        return max(0.0, (ahead + 1 - self.available(rank < Rank.LATER)) / self._rate)
+        return max(0.0, (ahead + 1 - self.available(rank)) / self._rate)
 
     async def take(self, amount: float = 1.0, rank: Rank = Rank.FIRST) -> None:
         """Waits until `amount` is there; an amount above the burst waits for a full bucket."""
         if not any(line for of, line in self._lines.items() if of <= rank) and (
-            self.available(rank < Rank.LATER) >= self._need(amount, rank)
+            self.available(rank) >= self._need(amount, rank)
         ):
             self.spend(amount)
             return
@@ -91,9 +93,9 @@
             self._serve()
             raise
 
-    def take_now(self, amount: float = 1.0, urgent: bool = True) -> bool:
+    def take_now(self, amount: float = 1.0, rank: Rank = Rank.FIRST) -> bool:
         """Takes tokens if they are there at this moment; a full bucket has enough for anything."""
-        if self.available(urgent) < self._need(amount, Rank.FIRST if urgent else Rank.LATER):
+        if self.available(rank) < self._need(amount, rank):
             return False
         self.spend(amount)
         return True
@@ -110,7 +112,7 @@
         for rank, line in self._lines.items():
             while line:
                 waiter = line[0]
-                short = self._need(waiter.amount, rank) - self.available(rank < Rank.LATER)
+                short = self._need(waiter.amount, rank) - self.available(rank)
                 if short > 0:
                     # Nobody of a lower rank goes before it.
                     delay_s = max(0.002, short / self._rate)
--- a/tealrill/state/keeper.py
+++ b/tealrill/state/keeper.py
@@ -24,6 +24,7 @@
     job_key,
     over_key,
 )
+from tealrill.state.budget import Rank
 from tealrill.state.client import (
     Failed,
     Refused,
@@ -150,7 +151,7 @@
             if not self._add_chunk(batch, chunk, room):
                 break
         self._add_all(batch, [j for j in awaited if j not in batch.joined], room)
-        spare = min(room, max(0, int(self._client.writes.available(urgent=False))))
+        spare = min(room, max(0, int(self._client.writes.available(Rank.LATER))))
         self._add_all(batch, [j for j in self.joined if j.ahead_at is None], spare)
         for chunk in list(self._book.lazy):
             due = chunk.dirty_since is not None and now - chunk.dirty_since >= _LAZY_S
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Container
 
@@ -25,7 +24,7 @@
 )
 from tealrill.scheduler.plan import _Pass
 from tealrill.scheduler.preemption import Victims, _victims_on, stoppable
-from tealrill.scheduler.reservation import Window, slots
+from tealrill.scheduler.reservation import Window, windows
 from tealrill.types import Steady
 
 
@@ -96,28 +95,14 @@
 def reserve(
     job: JobView, machines: list[MachineView], now: Steady, most: int
 ) -> dict[MachineView, Window]:
-    options = []
+    rooms = []
     for number, machine in enumerate(machines):
         if not machine.allows(job) or job.zone_room(machine.zone) <= 0:
             continue
         room = _first_room(job, machine, now)
         if room is not None:
-            options.append((room[0], number, machine, room[1:]))
-    heapq.heapify(options)
-    windows: dict[MachineView, Window] = {}
-    left = min(most, job.waiting)
-    while left > 0 and options:
-        at, _, machine, (cpus, gpus, memory) = heapq.heappop(options)
-        tasks = min(left, slots(job, cpus, gpus, memory))
-        left -= tasks
-        windows[machine] = Window(
-            at,
-            tasks,
-            cpus - tasks * job.cpus,
-            gpus - tasks * job.gpus,
-            memory - tasks * job.memory_gb,
-        )
-    return windows
+            rooms.append((room[0], number, machine, room[1:]))
+    return windows(job, rooms, min(most, job.waiting))
 
 
 def _first_room(
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -39,7 +39,7 @@
     Wall,
     steady_now,
 )
-from tests.samples import report
+from tests.samples import report, spec
 from tests.standins import JumpingLoop
 from tests.test_records import Store
 
@@ -432,7 +432,7 @@
         cloud = cast(Cloud, None)
         holds = [Duty(n, Token(4), Steady(0.0), lambda: True) for n in ("a", "b")]
         renter = Renter(cloud, fleet, Token(4), 2.0, second, *holds)
-        renter._finish = lambda request: asyncio.sleep(0)  # type: ignore[method-assign]
+        renter._ask = lambda request: asyncio.sleep(0, 0)  # type: ignore[method-assign]
         renter.inherit([], steady_now(), Wall(5.0))
         assert set(fleet.machines) == {"m-7", "m-8"}
         assert all(m.releasing and m.returned for m in fleet.machines.values())
@@ -505,8 +505,6 @@
     book = Book(8.0)
     mine = Leadership(Token(1), Revision(1), LeaseId(1), Steady(0.0), Steady(9.0))
     found = Keeper(cast(StateClient, store), book, mine, 3, lambda _: None, lambda _: None)
-    from tests.samples import spec
-
     for number in range(5):
         job = book.add(spec(id=f"wk-{number:06d}"), Wall(0.0), Revision(1))
         book.bind(job, 0, MachineId("m-1"), cast(Any, 1), "north", False, Wall(0.0), Steady(0.0))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -52,12 +52,12 @@
 class _Plenty:
     """A budget that never runs out."""
 
-    def available(self, urgent: bool = True) -> float:
+    def available(self, rank: Rank = Rank.FIRST) -> float:
         return 100.0
 
     def spend(self, amount: float) -> None: ...
 
-    def take_now(self, amount: float = 1.0, urgent: bool = True) -> bool:
+    def take_now(self, amount: float = 1.0, rank: Rank = Rank.FIRST) -> bool:
         return True
 
 
