--- /dev/null
+++ b/tests/test_variants_tool.py
@@ -0,0 +1,155 @@
+"""The tools that draw days of one's own and that read how every class was served."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import orjson
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tools import served, variants
+
+_SITE = """
+name = "small"
+wire = "wire.json"
+seed = 1
+[nodes]
+count = 3
+restart_delay_s = 5.0
+[[capacity]]
+type = "m8"
+zone = "north"
+count = 5
+spot = 9
+[[capacity]]
+type = "m8"
+zone = "south"
+count = 4
+spot = 0
+[[jobs]]
+name = "quick"
+priority = "high"
+arrivals = { rate = 0.5 }
+initial = 3
+[[jobs]]
+name = "large"
+arrivals = { start_s = 70.0 }
+initial = 1
+"""
+
+
+def _site(folder: Path) -> Path:
+    path = folder / "small.toml"
+    path.write_text(_SITE)
+    (folder / "wire.json").write_text("{}")
+    return path
+
+
+def test_a_variant_has_other_numbers_and_no_kind_of_machine_less(tmp_path: Path) -> None:
+    out = tmp_path / "there" / "big.toml"
+    args = ["site", str(_site(tmp_path)), str(out)]
+    args += ["--machines", "1.5", "--traffic", "2", "--restart-s", "0.2", "--seed", "7"]
+    result = CliRunner().invoke(variants.main, args)
+    assert result.exit_code == 0, result.output
+    found = tomllib.loads(out.read_text())
+    assert [(p["count"], p["spot"]) for p in found["capacity"]] == [(8, 14), (6, 0)]
+    assert found["nodes"] == {"count": 3, "restart_delay_s": 0.2}
+    assert found["jobs"][0]["arrivals"] == {"rate": 1.0} and found["jobs"][0]["initial"] == 6
+    assert found["seed"] == 7
+    assert (out.parent / "wire.json").exists()
+
+
+def test_machines_are_spread_over_other_zones(tmp_path: Path) -> None:
+    out = tmp_path / "zones.toml"
+    args = ["site", str(_site(tmp_path)), str(out), "--zone", "east=3", "--zone", "west=1"]
+    assert CliRunner().invoke(variants.main, args).exit_code == 0
+    found = tomllib.loads(out.read_text())["capacity"]
+    assert {p["zone"]: (p["count"], p["spot"]) for p in found} == {"east": (7, 7), "west": (3, 3)}
+
+
+@given(st.sampled_from(sorted(variants.THEMES)), st.integers(0, 10_000))
+def test_a_drawn_day_repeats_and_holds_what_its_site_has(theme: str, seed: int) -> None:
+    site = variants.Site(tomllib.loads(_SITE))
+    faults = variants.draw(site, theme, seed)
+    assert faults == variants.draw(site, theme, seed)
+    assert faults and faults == sorted(faults, key=lambda fault: fault["at_s"])
+    (day,) = tomllib.loads(variants.day("a", seed, faults, site.classes))["day"]
+    assert day["faults"] == faults and len(day["jobs"]) == 2
+    for fault in faults:
+        assert fault["at_s"] >= 100.0
+        assert set(fault.get("zones", [])) <= {"north", "south"}
+        assert fault.get("count", 1) >= 1
+        if fault["kind"].startswith("node"):
+            assert fault.get("count", 1) <= 3
+
+
+@pytest.mark.parametrize(
+    ("args", "named"),
+    [
+        (["site", "missing.toml", "out.toml"], "missing.toml"),
+        (["site", "bad.toml", "out.toml"], "bad.toml"),
+        (["site", "empty.toml", "out.toml"], "nodes"),
+        (["site", "small.toml", "out.toml", "--zone", "east"], "east"),
+        (["site", "small.toml", "out.toml", "--machines", "0"], "--machines"),
+        (["days", "small.toml", "out", "--theme", "floods"], "floods"),
+    ],
+)
+def test_bad_input_is_named_in_a_line_and_nothing_is_written(
+    args: list[str], named: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.chdir(tmp_path)
+    _site(tmp_path)
+    (tmp_path / "bad.toml").write_text("name =")
+    (tmp_path / "empty.toml").write_text("")
+    result = CliRunner().invoke(variants.main, args)
+    assert result.exit_code == 2 and named in result.output
+    assert not (tmp_path / "out.toml").exists() and not (tmp_path / "out").exists()
+
+
+def _entry(folder: Path, **day: object) -> Path:
+    whole = {
+        "name": "rough", "score": 0.7,
+        "served": [["quick", 0.8, 1.0], ["large", 0.2, 0.61], ["team red", 1.0, 0.9]],
+        "aims": [["deadline quick 1x: 0.95 (aim 0.9)", 0.8], ["useful: 0.7 (aim 0.8)", 0.5]],
+        "spent": {"world": [10.0, 1.0], "processes": [80.0, 2.0]},
+    }  # fmt: skip
+    path = folder / "entry.json"
+    entry = {"id": "ab12", "cmd": "score", "site": "small", "days": [{**whole, **day}]}
+    path.write_bytes(orjson.dumps(entry))
+    return path
+
+
+def test_the_least_share_of_a_day_is_found(tmp_path: Path) -> None:
+    (row,) = served.rows(served.read(_entry(tmp_path)))
+    assert row.served == (0.61, "large") and row.in_time == (0.95, "quick")
+    assert (row.least, row.spent_s, row.trouble) == (0.61, 93.0, "")
+    result = CliRunner().invoke(served.main, [str(_entry(tmp_path))])
+    assert result.exit_code == 0 and "0.610 on rough" in result.output
+
+
+@pytest.mark.parametrize(
+    ("day", "called"),
+    [
+        ({"fault": "no time left"}, "not played to its end"),
+        ({"rules": {"ran_twice": 1}}, "rule broken: ran_twice"),
+        ({"spent": {"world": [300.0], "processes": [101.0]}}, "took more than 400 s"),
+    ],
+)
+def test_a_day_that_failed_is_called_that(
+    day: dict[str, object], called: str, tmp_path: Path
+) -> None:
+    (row,) = served.rows(served.read(_entry(tmp_path, **day)))
+    assert row.trouble.startswith(called) and row.served is None and row.in_time is None
+    result = CliRunner().invoke(served.main, [str(_entry(tmp_path, **day))])
+    assert called in result.output and "the least of" not in result.output
+
+
+def test_an_entry_that_can_not_be_read_ends_the_command_in_one_line(tmp_path: Path) -> None:
+    path = tmp_path / "entry.json"
+    path.write_text("{")
+    result = CliRunner().invoke(served.main, [str(path)])
+    assert result.exit_code == 2 and "entry.json" in result.output
--- /dev/null
+++ b/tools/served.py
@@ -0,0 +1,148 @@
+"""How well each class of jobs and each team was served on days that were played.
+
+    python3 -m tools.served ENTRY.json ...         entries of a journal, all days of each
+    python3 -m tools.served --under 0.7 ENTRY.json ...   only days with less than that somewhere
+
+A row a day: the least share of a class or team that the bench counts as served, the least share in
+time of any class's deadline, and the processor time that the day took of what it may take. A day
+that was not played to its end, or broke a rule, is called that and has no shares. Figures are of
+simulated machines.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+_MOST_S: Final = 400.0
+_DEADLINE: Final = re.compile(r"deadline (\S+) 1x: ([\d.]+) ")
+
+
+class Spent(msgspec.Struct):
+    """Seconds in own code and in the kernel."""
+
+    world: list[float] = []
+    processes: list[float] = []
+
+
+class Played(msgspec.Struct):
+    """The parts of a day in an entry that are used here."""
+
+    name: str
+    score: float | None = None
+    served: list[tuple[str, float, float]] = []
+    """Class or team, its part of all jobs, and the part of those that was served."""
+    aims: list[tuple[str, float]] = []
+    rules: dict[str, int] = {}
+    fault: str | None = None
+    restarts: float = 0.0
+    spent: Spent | None = None
+
+
+class Entry(msgspec.Struct):
+    """One run."""
+
+    id: str
+    cmd: str
+    site: str = ""
+    days: list[Played] = []
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A day's least shares; None where it has none."""
+
+    entry: str
+    site: str
+    day: str
+    trouble: str
+    """Why its shares say nothing; empty if they do."""
+    served: tuple[float, str] | None
+    in_time: tuple[float, str] | None
+    spent_s: float
+
+    @property
+    def least(self) -> float:
+        return min(found[0] for found in (self.served, self.in_time) if found is not None)
+
+
+def read(path: Path) -> Entry:
+    """One entry; one line and exit status 2 where it can't be read."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Entry)
+    except OSError as error:
+        raise click.UsageError(f"{path}: {error.strerror}") from None
+    except msgspec.DecodeError as error:
+        raise click.UsageError(f"{path}: {error}") from None
+
+
+def rows(entry: Entry) -> Iterator[Row]:
+    for day in entry.days:
+        spent = day.spent or Spent()
+        spent_s = sum(spent.world) + sum(spent.processes)
+        trouble = _trouble(day, spent_s)
+        served = [(part, name) for name, _, part in day.served]
+        found = (_DEADLINE.match(text) for text, _ in day.aims)
+        in_time = [(float(match[2]), match[1]) for match in found if match is not None]
+        yield Row(
+            entry.id,
+            entry.site,
+            day.name,
+            trouble,
+            min(served, default=None) if not trouble else None,
+            min(in_time, default=None) if not trouble else None,
+            spent_s,
+        )
+
+
+def _trouble(day: Played, spent_s: float) -> str:
+    if day.rules:
+        return "rule broken: " + ", ".join(sorted(day.rules))
+    if day.fault:
+        return f"not played to its end: {day.fault}"
+    if spent_s > _MOST_S:
+        return f"took more than {_MOST_S:.0f} s"
+    return "" if day.served else "no shares in it"
+
+
+def _share(found: tuple[float, str] | None) -> str:
+    return f"{found[0]:.3f} {found[1]}" if found is not None else "-"
+
+
+@click.command(help=__doc__)
+@click.argument("entries", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--under", type=click.FloatRange(0.0, 1.0), default=1.0)
+def main(entries: tuple[Path, ...], under: float) -> None:
+    shown = Table(title="least shares; simulated machines")
+    for column in ("entry", "site", "day", "least served", "least in time", "processor s"):
+        shown.add_column(column)
+    days = [row for path in entries for row in rows(read(path))]
+    for row in days:
+        if row.trouble:
+            shown.add_row(row.entry, row.site, row.day, row.trouble, "", f"{row.spent_s:.0f}")
+        elif row.least <= under:
+            shown.add_row(
+                row.entry,
+                row.site,
+                row.day,
+                _share(row.served),
+                _share(row.in_time),
+                f"{row.spent_s:.0f}",
+            )
+    Console(width=150).print(shown)
+    whole = [row for row in days if not row.trouble]
+    if whole:
+        least = min(whole, key=lambda row: row.least)
+        click.echo(f"the least of {len(whole)} days: {least.least:.3f} on {least.day}")
+
+
+if __name__ == "__main__":
+    main()
