--- a/tealrill/fleet/catalogue.py
+++ b/tealrill/fleet/catalogue.py
@@ -20,6 +20,8 @@
 
 CATALOGUE_PATH: Final = "/peer/catalogue"
 _PEER_S: Final = 0.3
+_HEAD_START_S: Final = 0.05
+"""Nodes answer within milliseconds, those that don't may be silent."""
 _RETRY_S: Final = 2.0
 _EVERY_S: Final = 300.0
 
@@ -34,16 +36,38 @@
 
     async def run(self) -> None:
         while True:
-            if self.known is None:
-                self.known = await self.ask_peers()
-                if self.known is not None:
-                    await asyncio.sleep(_EVERY_S)
-            try:
-                self.known = await self._cloud.catalogue()
-                await asyncio.sleep(_EVERY_S)
-            except CloudError as error:
-                log.debug("catalogue: %s", error)
-                await asyncio.sleep(_RETRY_S)
+            found = await (self._first() if self.known is None else self._ask_cloud())
+            self.known = found or self.known
+            await asyncio.sleep(_EVERY_S if found is not None else _RETRY_S)
+
+    async def _first(self) -> wire.Catalogue | None:
+        """The first answer that there is; the cloud is asked if no node has answered at once.
+
+        Where all nodes were restarted together none knows, and users wait for the types.
+        """
+        peers = asyncio.create_task(self.ask_peers())
+        cloud: asyncio.Task[wire.Catalogue | None] | None = None
+        try:
+            await asyncio.wait({peers}, timeout=_HEAD_START_S)
+            if peers.done() and peers.result() is not None:
+                return peers.result()
+            cloud = asyncio.create_task(self._ask_cloud())
+            for first in asyncio.as_completed((peers, cloud)):
+                found = await first
+                if found is not None:
+                    return found
+            return None
+        finally:
+            for task in (peers, cloud):
+                if task is not None:
+                    task.cancel()
+
+    async def _ask_cloud(self) -> wire.Catalogue | None:
+        try:
+            return await self._cloud.catalogue()
+        except CloudError as error:
+            log.debug("catalogue: %s", error)
+            return None
 
     async def ask_peers(self) -> wire.Catalogue | None:
         """What another node knows; None if none knows any."""
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -207,3 +207,20 @@
     cloud = _Cloud()
     assert _started(_catalogues(cloud, peers)) is not None
     assert cloud.calls == 1
+
+
+class _Silent:
+    """A node whose connections hang."""
+
+    async def request(self, *_: object, timeout_s: float) -> Answer:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+def test_a_silent_node_does_not_keep_the_cloud_from_being_asked() -> None:
+    # All nodes were restarted together, and users waited for the machine types.
+    cloud = _Cloud()
+    found = _catalogues(cloud, [])
+    found._peers = [cast(Any, _Silent())]
+    assert asyncio.run(found._first()) is not None
+    assert cloud.calls == 1
