A machine that does not come up is given up by what came lately, not after four boots

Cause: one that never comes was charged, and counted as room about to come, for four boot times (140 s with boots of 35 s); nothing was rented in its place meanwhile. In a zone that is not heard nothing is late.

--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -80,6 +80,8 @@
     spot: bool
     since: Steady
     """When it was rented, or as near to that as is known."""
+    booted: bool = False
+    """It was rented in this term, so `since` is when its boot began."""
     addr: str = ""
     session: Session | None = None
     seq: Seq = Seq(-1)
@@ -188,6 +190,8 @@
         """Machines whose release was confirmed; lists and late reports may still show them."""
         self.changed: Callable[[], None] = lambda: None
         self.finished: Callable[[Finished], None] = lambda _: None
+        self.came: Callable[[Machine, Steady], None] = lambda _, __: None
+        """A machine is heard for the first time in this term."""
         self.dropped: Callable[[MachineId], None] = lambda _: None
         """A machine is gone or not known any more: nothing of it is to be kept."""
         self.blame = Blame()
@@ -295,6 +299,8 @@
         if machine.session is not None and report.session > machine.session:
             self._new_session(machine, Session(report.session), now)
         first = machine.heard_at is None
+        if first:
+            self.came(machine, now)
         machine.session = Session(report.session)
         machine.seq = Seq(report.seq)
         machine.heard_at = now
--- a/tealrill/fleet/rental.py
+++ b/tealrill/fleet/rental.py
@@ -21,6 +21,7 @@
 from tealrill.fleet.intents import Intents
 from tealrill.fleet.machines import Fleet, Machine
 from tealrill.fleet.refusals import Refusals
+from tealrill.scheduler.boots import Boots
 from tealrill.scheduler.capacity import Kind, Offer, Rental
 from tealrill.state.duty import Duty, Replaced
 from tealrill.types import MachineId, Steady, Token, Wall, parse_machine_id, steady_now
@@ -33,8 +34,6 @@
 _RELEASES_FIRST_S: Final = 2.0
 _LIST_EVERY_S: Final = 5.0
 _CATALOGUE_EVERY_S: Final = 30.0
-_LATE_BOOTS: Final = 4.0
-"""A machine that is not up after this many boot times is returned."""
 
 
 @dataclass(slots=True)
@@ -75,6 +74,9 @@
         """Every kind of machine in the catalogue."""
         self._types: dict[str, wire.MachineType] = {}
         self._ratios: dict[tuple[str, bool], float] = {}
+        self.boots = Boots()
+        self.cut_zones: Callable[[], frozenset[str]] = frozenset
+        """Zones of which nothing is heard."""
         self.changed: Callable[[], None] = lambda: None
         self.granted: Callable[[Rental], None] = lambda _: None
         """So many machines of a kind were rented."""
@@ -221,7 +223,7 @@
             ", spot" if rental.spot else "",
         )
         for name in names:
-            self._rented(name, rental, request.since)
+            self._rented(name, rental, request.since, booted=True)
         if names:
             self.granted(Rental(*kind, len(names)))
         self.changed()
@@ -253,7 +255,12 @@
             log.warning("a rental of %d brought %d names, %d good", asked, len(names), len(found))
         return found
 
-    def _rented(self, name: str, rental: Rental, since: Steady) -> None:
+    def came(self, machine: Machine, now: Steady) -> None:
+        """A machine reports for the first time in this term."""
+        if machine.booted:
+            self.boots.came((machine.type, machine.zone), now - machine.since, now)
+
+    def _rented(self, name: str, rental: Rental, since: Steady, booted: bool = False) -> None:
         machine_id = parse_machine_id(name)
         if machine_id is None or machine_id in self._fleet.gone:
             return
@@ -265,6 +272,7 @@
             # Known from a former leader's bindings only.
             self._fleet.locate(machine, rental.type, rental.zone, rental.spot)
         machine.since = since
+        machine.booted = booted
 
     # -- what former terms left open ------------------------------------------------------------
 
@@ -453,12 +461,16 @@
 
         Only what the list calls starting is one of them. A new leader has not heard machines that
         are cut off from it, and once returned 256 good ones in the middle of a cut of their zone.
+        In a zone that is not heard nothing is late.
         """
         kind = self.type_of(machine.type)
         if machine.releasing or machine.bindings or kind is None:
             return
-        if now - machine.since > _LATE_BOOTS * kind.boot_s:
-            log.info("machine %s did not come up", machine.id)
+        if machine.zone in self.cut_zones():
+            return
+        waited_s = now - machine.since
+        if waited_s > self.boots.patience_s((machine.type, machine.zone), kind.boot_s, now):
+            log.info("machine %s did not come up in %.0f s", machine.id, waited_s)
             machine.releasing = True
 
     def _not_listed(self, machine: Machine, now: Steady) -> None:
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -163,6 +163,8 @@
             self.fleet, params.workers.report_s, lambda: self._lines.spare, valid=self._valid
         )
         self.prober.judged = self.wake
+        self.renter.cut_zones = lambda: self.prober.hearing.cut_zones
+        self.fleet.came = self.renter.came
         self.dispatcher.hearing = lambda: self.prober.hearing
 
     # -- the term -------------------------------------------------------------------------------
