--- a/tools/variants.py
+++ b/tools/variants.py
@@ -174,8 +174,9 @@
 
 
 def _silent(rng: random.Random, site: Site) -> list[Fault]:
-    count = rng.randint(1, max(1, site.nodes - 1))
-    for_s = round(rng.uniform(40, 100), 1)
+    # One after the other they may overlap; all of them silent at once say nothing about a service.
+    count = rng.randint(1, max(1, (site.nodes - 1) // 2))
+    for_s = round(rng.uniform(40, 60), 1)
     down = {"kind": "node_down", "count": count, "busiest": True, "for_s": for_s, "at_s": 0.0}
     return [down] if rng.random() < 0.5 else [down, {**_outage(rng), "at_s": 8.0}]
 
