A silent member is kept out, and the leader goes on through an outage without its promise

Need: controllers are silent for a minute and more; one of them and an outage of the state service meant silence, and an outage longer than a lease ended every task. Change: state/exclusion.py. The leader writes out/HOST for a member that was silent for 6 s; an election requires the record of its own host to be absent; a member that was kept out lets itself in after it saw nobody lead for 15 s. Until then, and within what a cancellation that nobody heard of allows, the leader goes on without it.

--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -31,7 +31,7 @@
 from tealrill.settings import Settings, parse_address
 from tealrill.state.client import StateClient
 from tealrill.state.deputy import Deputy
-from tealrill.state.election import Election
+from tealrill.state.election import Election, Leadership
 from tealrill.state.intake import Intake
 from tealrill.state.truce import PING_PATH, PROMISE_S, TRUCE_PATH, Seen, Truce
 from tealrill.types import JobId, MachineId, Steady, steady_now
@@ -78,6 +78,8 @@
         self._deputy = Deputy(settings, self._client, self.election)
         self._truce.seen = lambda: self.leader.seen if self.leader is not None else Seen()
         self._truce.cancelled = self._cancelled_elsewhere
+        self._truce.kept_out = self._kept_out
+        self._truce.relied = self._relied
         self._last_report: Steady | None = None
         self._giveway = GiveWay(settings)
         self._truce.reports = lambda: self._giveway.recent(steady_now())
@@ -288,6 +290,14 @@
             await asyncio.sleep(_HAND_OVER_LOOK_S)
         await self.election.resign(why, _RESIGN_PAUSE_S)
 
+    def _kept_out(self, mine: Leadership, host: str) -> bool:
+        leader = self.leader
+        return leader is not None and leader.leads(mine) and leader.exclusions.stands(host)
+
+    def _relied(self, mine: Leadership, until: Steady) -> None:
+        if self.leader is not None and self.leader.leads(mine):
+            self.leader.exclusions.rely(until)
+
     def _cancelled_elsewhere(self, job: str) -> None:
         if self.leader is not None:
             self.leader.job_cancelled(job)
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -40,6 +40,7 @@
 from tealrill.state.deputy import PERMIT_S, Permits
 from tealrill.state.duty import Duty
 from tealrill.state.election import Election, Leadership
+from tealrill.state.exclusion import Exclusions
 from tealrill.state.keeper import Deposed, Keeper
 from tealrill.state.truce import Seen
 from tealrill.types import (
@@ -154,6 +155,7 @@
             self.dispatcher.upcoming = self._upcoming
             self.keeper.tasks_done = self._tasks_done
             self.keeper.owner_gone = self._owner_gone
+        self.exclusions = Exclusions(settings, client, mine.term, mine.stamp, self._valid)
         self._wake = asyncio.Event()
         self._winding_up = False
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
@@ -179,6 +181,7 @@
                 group.create_task(self._passes())
                 group.create_task(self._silences())
                 group.create_task(self.prober.run())
+                group.create_task(self.exclusions.run())
                 group.create_task(self.renter.run_returns())
                 group.create_task(self.renter.run_releases())
                 group.create_task(self.renter.run_lists())
@@ -232,6 +235,10 @@
             )
         }
 
+    def leads(self, mine: Leadership) -> bool:
+        """Whether this is that term."""
+        return self._mine is mine
+
     def _valid(self) -> bool:
         return self._election.leading(steady_now()) is self._mine
 
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 import secrets
 from collections.abc import Awaitable, Callable
@@ -18,7 +19,15 @@
 from typing import Any, Final
 
 from tealrill import wire
-from tealrill.state.client import Committed, Refused, Rejected, StateClient, StateError, Unknown
+from tealrill.state.client import (
+    Committed,
+    Failed,
+    Refused,
+    Rejected,
+    StateClient,
+    StateError,
+    Unknown,
+)
 from tealrill.state.duty import LEADER_KEY
 from tealrill.types import (
     ABSENT,
@@ -35,6 +44,11 @@
 log = logging.getLogger(__name__)
 
 TERM_KEY: Final = "term"
+OUT_PREFIX: Final = "out/"
+"""Members that may not stand, because they were silent (`state/exclusion.py`)."""
+SOLE_S: Final = 15.0
+"""For so long a member that was kept out sees that nobody leads before it lets itself in."""
+_SOLE_DRIFT: Final = 1.001
 TTL_S: Final = 3.0
 _MARGIN_S: Final = 0.2
 _RENEW_S: Final = TTL_S / 4
@@ -57,11 +71,17 @@
     valid_until: Steady
     troubled: bool = False
     """Its last renewal failed."""
+    renewed_at: Steady = Steady(-math.inf)
+    """When its last successful renewal was sent: the lease stood for `TTL_S` from then."""
 
     def valid(self, now: Steady) -> bool:
         return now < self.valid_until
 
 
+def out_key(host: str) -> str:
+    return OUT_PREFIX + host
+
+
 @dataclass(frozen=True, slots=True)
 class KnownLeader:
     host: str
@@ -111,6 +131,9 @@
         self._incarnation = secrets.token_hex(8)
         self._changed = changed
         self._not_before = Steady(0.0)
+        self._alone: tuple[Revision, Steady] | None = None
+        """While this host may not stand: that nobody led was seen in this version of the term's
+        key, and when first."""
         self.mine: Leadership | None = None
         self.known: KnownLeader | None = None
         self.well_placed: Callable[[], bool] = lambda: True
@@ -180,6 +203,7 @@
         # A lease that answers has never ended, so the key attached to it has stood all the time
         # and nobody else can have led: a term that went silent in an outage may go on.
         mine.valid_until = max(mine.valid_until, _validity(sent))
+        mine.renewed_at = sent
         mine.troubled = False
         if not was_valid:
             log.info("term %d: valid again after a silence", mine.term)
@@ -244,6 +268,7 @@
         guards = [
             wire.guard(LEADER_KEY, stamp),
             wire.guard(TERM_KEY, last.version if last is not None else ABSENT),
+            wire.guard(out_key(self._host), ABSENT),
         ]
         changes = [wire.put(LEADER_KEY, value, lease), wire.put(TERM_KEY, term)]
         # A key that this host's former process left is no other leader's, and a service without a
@@ -260,6 +285,8 @@
             result = await self._client.commit(guards, changes)
             revision = result.revision if isinstance(result, Committed) else None
             self._standing = None
+            if isinstance(result, Failed) and out_key(self._host) in result.keys:
+                await self._let_itself_in()
         except (Rejected, Refused):
             revision = self._standing = None
         except Unknown:
@@ -268,7 +295,36 @@
             with contextlib.suppress(StateError):
                 await self._client.end_lease(lease)
             return
-        self._won(Leadership(term, revision, lease, steady_now(), _validity(sent)))
+        now = steady_now()
+        self._won(Leadership(term, revision, lease, now, _validity(sent), renewed_at=sent))
+
+    async def _let_itself_in(self) -> None:
+        """This host was kept out while it was silent, and may be the only one that is left.
+
+        A leader that keeps it out may go on without its promise until `SOLE_S` after its lease has
+        ended. Only an election changes the term's key: as it is the one that was read before
+        nobody was seen to lead, nobody has led since.
+        """
+        term = await self._client.get(TERM_KEY)
+        leader = await self._client.get(LEADER_KEY)
+        stamp = Revision(term.version) if term is not None else ABSENT
+        now = steady_now()
+        if leader is not None:
+            self._alone = None
+        elif self._alone is None or self._alone[0] != stamp:
+            log.info("this host may not stand: it was silent")
+            self._alone = (stamp, now)
+        elif now - self._alone[1] >= SOLE_S * _SOLE_DRIFT:
+            entry = await self._client.get(out_key(self._host))
+            if entry is not None:
+                log.info("this host has seen nobody lead for %.0f s", now - self._alone[1])
+                guards = [
+                    wire.guard(LEADER_KEY, ABSENT),
+                    wire.guard(TERM_KEY, stamp),
+                    wire.guard(out_key(self._host), entry.version),
+                ]
+                await self._client.commit(guards, [wire.delete(out_key(self._host))])
+        await asyncio.sleep(0.25)
 
     async def _free_of_former_promises(self) -> bool:
         """Whether what this host's former process may have promised binds nobody any more.
--- /dev/null
+++ b/tealrill/state/exclusion.py
@@ -0,0 +1,154 @@
+"""Members that have fallen silent: kept from being elected while the state service is away.
+
+A leader goes on through an outage by the others' promises not to stand (`state/truce.py`). One that
+does not answer promises nothing, and could be elected if it alone reached the state service. So the
+leader writes down, while it can, that a silent member may not stand: its election requires that
+record to be absent. The leader takes it back when the member answers again. A member that finds
+itself alone takes it back itself, but only after it has seen for `SOLE_S` that nobody leads: until
+then the leader may go on without its promise. docs/design.md has the argument.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+from typing import Any, Final, Literal
+
+import msgspec
+
+from tealrill import wire
+from tealrill.http import Client
+from tealrill.settings import Settings, parse_address
+from tealrill.state.client import Committed, StateClient, StateError
+from tealrill.state.duty import Fence
+from tealrill.state.election import OUT_PREFIX, out_key
+from tealrill.state.truce import ask_presence
+from tealrill.types import ABSENT, Revision, Steady, Token, steady_now
+
+log = logging.getLogger(__name__)
+
+SILENT_S: Final = 6.0
+"""Longer than a process takes to be back, as a rule."""
+_LOOK_EVERY_S: Final = 1.0
+_READ_EVERY: Final = 10
+"""Looks between two readings of all records: one without an answer may be written late."""
+
+
+class OutRecord(msgspec.Struct, frozen=True):
+    """A member that may not stand."""
+
+    term: int
+    """Of the leader that wrote it."""
+    v: Literal[1] = 1
+
+
+class Exclusions:
+    """The leader's part, for one term. Wanted: exactly the silent members are kept out."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: StateClient,
+        term: Token,
+        stamp: Revision,
+        valid: Callable[[], bool],
+        now: Callable[[], Steady] = steady_now,
+    ) -> None:
+        self._client = client
+        self._fence = Fence(client, stamp)
+        self._term = term
+        self._valid = valid
+        self._now = now
+        self._peers = {
+            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
+        }
+        self._heard = dict.fromkeys(self._peers, now())
+        self._records: dict[str, Revision] = {}
+        """Records that were seen last, by host."""
+        self._certain: set[str] = set()
+        """Hosts whose record stands and that nothing under way removes."""
+        self._relied_until = Steady(-math.inf)
+        self._looks = 0
+
+    def stands(self, host: str) -> bool:
+        """Whether that member certainly can't be elected before it saw nobody lead for `SOLE_S`."""
+        return host in self._certain
+
+    def rely(self, until: Steady) -> None:
+        """The term is prolonged until then by what `stands` said: nobody is let in before."""
+        self._relied_until = Steady(max(self._relied_until, until))
+
+    async def run(self) -> None:
+        while True:
+            try:
+                if self._looks % _READ_EVERY == 0:
+                    await self._read()
+                await self.look()
+                self._looks += 1
+            except StateError as error:
+                log.debug("members that are silent: %s", error)
+            await asyncio.sleep(_LOOK_EVERY_S)
+
+    async def _read(self) -> None:
+        """All records. At a term's start they are former leaders', whose fence is gone: certain."""
+        entries, _ = await self._client.scan(OUT_PREFIX)
+        for entry in entries:
+            host = entry.key.removeprefix(OUT_PREFIX)
+            if host in self._peers and host not in self._certain:
+                self._records[host] = Revision(entry.version)
+                if not self._looks:
+                    self._certain.add(host)
+
+    async def look(self) -> None:
+        """One question to every other member, and what follows from the answers."""
+        asked = [self._answers(peer) for peer in self._peers.values()]
+        for host, answers in zip(self._peers, await asyncio.gather(*asked), strict=True):
+            now = self._now()
+            if answers:
+                self._heard[host] = now
+            if not self._valid():
+                continue
+            if answers and host in self._records and now >= self._relied_until:
+                await self._let_in(host)
+            elif host not in self._certain and now - self._heard[host] >= SILENT_S:
+                await self._keep_out(host)
+
+    @staticmethod
+    async def _answers(peer: Client) -> bool:
+        return await ask_presence(peer) is not None
+
+    async def _let_in(self, host: str) -> None:
+        # Sent, it may be executed at any later time: nothing is built on the record any more.
+        self._certain.discard(host)
+        log.info("term %d: %s answers again", self._term, host)
+        await self._change(host, wire.delete(out_key(host)))
+
+    async def _keep_out(self, host: str) -> None:
+        """Written anew if it is there: a removal under way names its former version."""
+        log.info("term %d: %s is silent and may not stand", self._term, host)
+        record = wire.plain(OutRecord(self._term))
+        if await self._change(host, wire.put(out_key(host), record)):
+            self._certain.add(host)
+
+    async def _change(self, host: str, change: dict[str, Any]) -> bool:
+        """True if it certainly was made; otherwise the record is read."""
+        guards = {out_key(host): self._records.get(host, ABSENT)}
+        try:
+            result = await self._fence.commit(guards, [change])
+        except StateError as error:
+            log.debug("record of %s: %s", host, error)
+            result = None
+        if isinstance(result, Committed):
+            if "delete" in change:
+                self._records.pop(host, None)
+            else:
+                self._records[host] = result.revision
+            return True
+        entry = await self._client.get(out_key(host))
+        if entry is None:
+            self._records.pop(host, None)
+        else:
+            self._records[host] = Revision(entry.version)
+        return False
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -22,7 +22,7 @@
 from tealrill.settings import Settings, parse_address
 from tealrill.state.acknowledged import Acknowledged
 from tealrill.state.client import StateClient, StateError
-from tealrill.state.election import Leadership
+from tealrill.state.election import SOLE_S, TTL_S, Leadership
 from tealrill.types import Revision, Steady, Token, steady_now, surely_until
 
 log = logging.getLogger(__name__)
@@ -36,6 +36,7 @@
 _ASK_TIMEOUT_S: Final = 0.6
 _PROBE_S: Final = 0.3
 _CANCEL_SPARE_S: Final = 5.0
+_SOLE_MARGIN_S: Final = 0.5
 _FOREVER: Final = Steady(math.inf)
 
 
@@ -110,6 +111,10 @@
         self.cancelled: Callable[[str], None] = lambda _: None
         """Tells this node's leader of a cancellation that another node has acknowledged."""
         self.reports: Callable[[], int] = lambda: 0
+        self.kept_out: Callable[[Leadership, str], bool] = lambda _, __: False
+        """Whether a member that does not answer certainly can't be elected for a while."""
+        self.relied: Callable[[Leadership, Steady], None] = lambda _, __: None
+        """The term is prolonged until then by that."""
         self._peers = {
             m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
         }
@@ -141,35 +146,38 @@
         request = Request(mine.term, seen.revision)
         answers = await asyncio.gather(*(self._ask(c, request) for c in self._peers.values()))
         # What this node itself acknowledged may not have come back by its watch either.
-        told = [self._acknowledged.since(seen.revision), *(a.cancelled for a in answers)]
+        told = [self._acknowledged.since(seen.revision)]
+        told += [answer.cancelled for answer in answers if answer is not None]
         for job in chain.from_iterable(told):
             self.cancelled(job)
-        refused = [
-            f"{name}: {a.why}"
-            for name, a in zip(self._peers, answers, strict=True)
-            if not a.promised
-        ]
+        by_name = dict(zip(self._peers, answers, strict=True))
+        silent = [name for name, answer in by_name.items() if answer is None]
+        refused = [f"{n}: no answer" for n in silent if not self.kept_out(mine, n)]
+        refused += [f"{n}: {a.why}" for n, a in by_name.items() if a is not None and not a.promised]
         if refused:
             log.info("term %d: no truce: %s", mine.term, "; ".join(refused))
             return
         latest = _FOREVER
-        restarted = [n for n, a in zip(self._peers, answers, strict=True) if not a.vouches]
-        if restarted:
-            # Their former processes may have acknowledged what nobody here has seen.
+        unknown = [n for n, a in by_name.items() if a is None or not a.vouches]
+        if unknown:
+            # They, or their former processes, may have acknowledged what nobody here has seen.
             latest = Steady(seen.at + self._unseen_s)
+        if silent:
+            latest = min(latest, surely_until(mine.renewed_at, TTL_S + SOLE_S, _SOLE_MARGIN_S))
+            self.relied(mine, latest)
         if not self._in_truce:
             log.info(
                 "term %d: goes on without the state service, by all others' promise", mine.term
             )
-        if restarted and (not self._in_truce or not self._bounded):
+        if unknown and (not self._in_truce or not self._bounded):
             log.info(
                 "term %d: for %.1f s at most, since %s can't vouch for cancellations",
                 mine.term,
                 max(0.0, latest - sent),
-                ", ".join(restarted),
+                ", ".join(unknown),
             )
         self._in_truce = True
-        self._bounded = bool(restarted)
+        self._bounded = bool(unknown)
         self.extend(mine, sent, latest)
 
     def extend(self, mine: Leadership, sent: Steady, latest: Steady = _FOREVER) -> None:
@@ -182,12 +190,15 @@
             until = surely_until(sent, PROMISE_S, _MARGIN_S)
             mine.valid_until = max(mine.valid_until, min(until, latest))
 
-    async def _ask(self, client: Client, request: Request) -> Answer:
+    async def _ask(self, client: Client, request: Request) -> Answer | None:
+        """A member's answer; None if it says nothing."""
         try:
             body = wire.encode(request)
             answer = await client.request("POST", TRUCE_PATH, body, _ASK_TIMEOUT_S)
             return wire.decode(answer.body, Answer)
-        except (NoAnswer, wire.Malformed) as error:
+        except NoAnswer:
+            return None
+        except wire.Malformed as error:
             return Answer(False, str(error))
 
     # -- a restarted member -----------------------------------------------------------------------
