At most half of the other members are kept out at a time

Need: in a cut between zones the silent members may be those that are to follow the leader. Were all of them kept out and the leader lost, they would wait 15 s before one of them leads, longer than a worker's lease. With three members one may be kept out, with five two; a test has the cut. The clause that nobody is let in while a term relies on it has a test of its own.

--- a/tealrill/state/exclusion.py
+++ b/tealrill/state/exclusion.py
@@ -64,6 +64,9 @@
         self._peers = {
             m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
         }
+        self._most = len(self._peers) // 2
+        """Kept out at a time. In a cut the silent ones may be those that are to follow this leader:
+        some must be left who need not wait first."""
         self._heard = dict.fromkeys(self._peers, now())
         self._records: dict[str, Revision] = {}
         """Records that were seen last, by host."""
@@ -112,7 +115,11 @@
                 continue
             if answers and host in self._records and now >= self._relied_until:
                 await self._let_in(host)
-            elif host not in self._certain and now - self._heard[host] >= SILENT_S:
+            elif (
+                host not in self._certain
+                and now - self._heard[host] >= SILENT_S
+                and len(self._records.keys() - {host}) < self._most
+            ):
                 await self._keep_out(host)
 
     @staticmethod
--- a/tests/test_exclusion.py
+++ b/tests/test_exclusion.py
@@ -365,26 +365,13 @@
     patch.setattr(Exclusions, "_let_in", let_in)
 
 
-def _forgetful(patch: pytest.MonkeyPatch) -> None:
-    """Members are let in though the term was prolonged by their records."""
-    patch.setattr(Exclusions, "rely", lambda *_: None)
-
-
-@pytest.mark.parametrize(
-    ("clause", "first"),
-    [
-        (_unguarded, 0),
-        (_impatient, 0),
-        (_unbounded, 0),
-        (_never_written, 0),
-        (_hasty, 0),
-        (_forgetful, 2120),  # Found once in some thousand.
-    ],
-)
-def test_each_clause_is_needed(clause: Any, first: int, monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("clause", [_unguarded, _impatient, _unbounded, _never_written, _hasty])
+def test_each_clause_is_needed(clause: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    # That nobody is let in while a term relies on it shows in one world of some thousand only, and
+    # has a test of its own below.
     clause(monkeypatch)
     with pytest.raises(TwoLeaders):
-        for seed in range(first, first + 100):
+        for seed in range(300):
             _play(seed, rounds=20)
 
 
@@ -430,6 +417,28 @@
     assert out_key("host-1") in store.keys
 
 
+def test_some_are_left_who_need_not_wait() -> None:
+    """In a cut the leader hears nobody; if it is lost, one of the others must be able to follow."""
+    world = World(0)
+    world.store.keys[LEADER_KEY] = ({}, 1, None)
+    world.rng.random = lambda: 1.0  # type: ignore[method-assign]
+    world.apart = {frozenset(("host-0", other)) for other in _HOSTS[1:]}
+
+    async def scenario() -> None:
+        node = world.nodes["host-0"]
+        found = Exclusions(
+            node.settings, node.client, Token(1), Revision(1), lambda: True, node.now
+        )
+        found._peers = node.peers
+        for _ in range(5):
+            world.true += SILENT_S
+            await found.look()
+        assert [found.stands(host) for host in _HOSTS[1:]] == [True, False]
+        assert sum(key.startswith(OUT_PREFIX) for key in world.store.keys) == 1
+
+    asyncio.run(scenario())
+
+
 def test_an_answering_member_is_let_in_once_nothing_relies_on_its_record() -> None:
     world = World(0)
     world.store.keys[LEADER_KEY] = ({}, 1, None)
