--- a/tealrill/api/relay.py
+++ b/tealrill/api/relay.py
@@ -14,8 +14,8 @@
 from typing import Any, Final, Protocol
 
 from tealrill import wire
-from tealrill.http import Client, NoAnswer
-from tealrill.settings import Settings, parse_address
+from tealrill.http import NoAnswer, peer_clients
+from tealrill.settings import Settings
 from tealrill.state.intake import Reply
 
 log = logging.getLogger(__name__)
@@ -41,7 +41,7 @@
     def __init__(self, local: Users, settings: Settings, failing: Callable[[], bool]) -> None:
         self._local = local
         self._failing = failing
-        self._peers = [Client(parse_address(m.peer_addr), most=2) for m in settings.members]
+        self._peers = list(peer_clients(settings, most=2).values())
 
     async def submit(self, body: bytes) -> Reply:
         there = (wire.JOBS_PATH, "POST", body)
--- a/tealrill/fleet/catalogue.py
+++ b/tealrill/fleet/catalogue.py
@@ -13,8 +13,8 @@
 
 from tealrill import wire
 from tealrill.fleet.cloud import Cloud, CloudError
-from tealrill.http import Client, NoAnswer
-from tealrill.settings import Settings, parse_address
+from tealrill.http import Client, NoAnswer, peer_clients
+from tealrill.settings import Settings
 
 log = logging.getLogger(__name__)
 
@@ -26,12 +26,28 @@
 _EVERY_S: Final = 300.0
 
 
+_Asked = asyncio.Task[wire.Catalogue | None]
+
+
+async def _first_found(asked: list[_Asked]) -> wire.Catalogue | None:
+    """The first of them that brings any; the others are given up."""
+    try:
+        for first in asyncio.as_completed(asked):
+            found = await first
+            if found is not None:
+                return found
+        return None
+    finally:
+        for task in asked:
+            task.cancel()
+
+
 class Catalogues:
     """Wanted: the types that the cloud offers. Prices move; the leader asks for those itself."""
 
     def __init__(self, settings: Settings, cloud: Cloud) -> None:
         self._cloud = cloud
-        self._peers = [Client(parse_address(m.peer_addr), most=1) for m in settings.members]
+        self._peers = list(peer_clients(settings).values())
         self.known: wire.Catalogue | None = None
 
     async def run(self) -> None:
@@ -46,21 +62,12 @@
         Where all nodes were restarted together none knows, and users wait for the types.
         """
         peers = asyncio.create_task(self.ask_peers())
-        cloud: asyncio.Task[wire.Catalogue | None] | None = None
-        try:
-            await asyncio.wait({peers}, timeout=_HEAD_START_S)
-            if peers.done() and peers.result() is not None:
-                return peers.result()
-            cloud = asyncio.create_task(self._ask_cloud())
-            for first in asyncio.as_completed((peers, cloud)):
-                found = await first
-                if found is not None:
-                    return found
-            return None
-        finally:
-            for task in (peers, cloud):
-                if task is not None:
-                    task.cancel()
+        return await _first_found([peers, asyncio.create_task(self._ask_cloud_after(peers))])
+
+    async def _ask_cloud_after(self, peers: _Asked) -> wire.Catalogue | None:
+        await asyncio.wait({peers}, timeout=_HEAD_START_S)
+        known = peers.done() and peers.result() is not None
+        return None if known else await self._ask_cloud()
 
     async def _ask_cloud(self) -> wire.Catalogue | None:
         try:
@@ -71,16 +78,7 @@
 
     async def ask_peers(self) -> wire.Catalogue | None:
         """What another node knows; None if none knows any."""
-        asked = [asyncio.create_task(self._ask(peer)) for peer in self._peers]
-        try:
-            for first in asyncio.as_completed(asked):
-                found = await first
-                if found is not None:
-                    return found
-            return None
-        finally:
-            for task in asked:
-                task.cancel()
+        return await _first_found([asyncio.create_task(self._ask(peer)) for peer in self._peers])
 
     @staticmethod
     async def _ask(peer: Client) -> wire.Catalogue | None:
--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -124,7 +124,7 @@
         machines, silent = self._survey(now)
         return View(
             machines,
-            [self._job(j, now, wall) for j in self._book.jobs.values() if self._waits(j, now)],
+            self._queue(now, wall),
             self._teams(),
             self._expected(now),
             self._book.rank_cpus,
@@ -269,24 +269,28 @@
             return _SERVICE_RUN_S
         return self._estimates.run_s(spec.team, spec.estimate_s)
 
-    def _waits(self, job: Job, now: Steady) -> bool:
+    def _queue(self, now: Steady, wall: Wall) -> list[JobView]:
+        found = ((job, self._waiting(job, now)) for job in self._book.jobs.values())
+        return [self._job(job, waiting, now, wall) for job, waiting in found if waiting > 0]
+
+    def _waiting(self, job: Job, now: Steady) -> int:
+        """How many of the job's tasks wait and may be placed."""
         if job.waiting <= 0:
-            return False
-        if self._fleet.tries(job, now) == 0:
+            return 0
+        tries = self._fleet.tries(job, now)
+        if tries == 0:
             # Failing wherever it runs, it takes no room, no money and no place in the queue.
-            return False
+            return 0
         spec = job.spec
-        # Until the zones of all its tasks are known, a job with a rule about zones waits.
-        return not (
-            (spec.one_zone or spec.spread) and sum(job.zone_counts.values()) < job.bound_count
-        )
+        if (spec.one_zone or spec.spread) and sum(job.zone_counts.values()) < job.bound_count:
+            # Until the zones of all its tasks are known, a job with a rule about zones waits.
+            return 0
+        return job.waiting if tries is None or spec.is_gang else min(job.waiting, tries)
 
-    def _job(self, job: Job, now: Steady, wall: Wall) -> JobView:
+    def _job(self, job: Job, waiting: int, now: Steady, wall: Wall) -> JobView:
         spec = job.spec
         waited_s = max(0.0, wall - job.submitted)
         run_s = self._run_s(spec)
-        tries = self._fleet.tries(job, now)
-        waiting = job.waiting if tries is None or spec.is_gang else min(job.waiting, tries)
         return JobView(
             job.id,
             spec.team,
@@ -317,9 +321,7 @@
         """A job that is not in the queue, as if it had just come."""
         job = Job(JobId(spec.id), spec, Wall(0.0), Revision(0), 1, bytearray())
         job.due_s = spec.deadline_s
-        view = self._job(job, Steady(0.0), Wall(0.0))
-        view.waiting = waiting
-        return view
+        return self._job(job, waiting, Steady(0.0), Wall(0.0))
 
     def remaining_s(self, job: Job, now: Steady) -> float:
         """How long the job's tasks are expected to take from now on."""
--- a/tealrill/fleet/giveway.py
+++ b/tealrill/fleet/giveway.py
@@ -12,8 +12,8 @@
 import math
 from typing import Final
 
-from tealrill.http import Client
-from tealrill.settings import Settings, parse_address
+from tealrill.http import Client, peer_clients
+from tealrill.settings import Settings
 from tealrill.state.truce import ask_presence
 from tealrill.types import Steady
 
@@ -28,7 +28,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._window_s = _PERIODS * settings.params.workers.report_s
-        self._peers = [Client(parse_address(m.peer_addr), most=1) for m in settings.members]
+        self._peers = list(peer_clients(settings).values())
         self._window = 0
         self._counts = [0, 0]
 
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -686,9 +686,7 @@
     def released(self, machine_id: MachineId, now: Steady) -> None:
         """Proof 4: the cloud has confirmed that the machine is gone."""
         self.gone[machine_id] = now
-        self.blame.forget_machine(machine_id)
-        machine = self.machines.pop(machine_id, None)
-        self.dropped(machine_id)
+        machine = self._forget(machine_id)
         if machine is None:
             return
         for binding in list(machine.bindings.values()):
@@ -702,6 +700,10 @@
     def drop(self, machine: Machine) -> None:
         """Forgets a machine that has no bindings and is no longer listed."""
         assert not machine.bindings
-        self.machines.pop(machine.id, None)
-        self.blame.forget_machine(machine.id)
-        self.dropped(machine.id)
+        self._forget(machine.id)
+
+    def _forget(self, machine_id: MachineId) -> Machine | None:
+        machine = self.machines.pop(machine_id, None)
+        self.blame.forget_machine(machine_id)
+        self.dropped(machine_id)
+        return machine
--- a/tealrill/graphs/subsystem.py
+++ b/tealrill/graphs/subsystem.py
@@ -8,9 +8,9 @@
 from tealrill.graphs.api import COUNTS_PATH, peer_routes, user_routes
 from tealrill.graphs.intake import GraphIntake
 from tealrill.graphs.term import GraphTerm
-from tealrill.http import Client, NoAnswer
+from tealrill.http import NoAnswer, peer_clients
 from tealrill.seam import Subsystem, Term, TermPart
-from tealrill.settings import Settings, parse_address
+from tealrill.settings import Settings
 from tealrill.state.client import StateClient
 from tealrill.state.election import Election
 from tealrill.state.intake import Intake
@@ -24,9 +24,7 @@
 
     def __init__(self, settings: Settings, election: Election) -> None:
         self._election = election
-        self._peers = {
-            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
-        }
+        self._peers = peer_clients(settings)
         self.term: GraphTerm | None = None
 
     def here(self, graph: str) -> dict[str, int] | None:
--- a/tealrill/http.py
+++ b/tealrill/http.py
@@ -15,7 +15,7 @@
 from tornado import httputil, iostream
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from tealrill.settings import Address
+from tealrill.settings import Address, Settings, parse_address
 
 _LATE_S: Final = 0.3
 _PARAMETERS: Final = HTTP1ConnectionParameters(
@@ -184,3 +184,8 @@
         for stream in self._idle:
             stream.close()
         self._idle.clear()
+
+
+def peer_clients(settings: Settings, most: int = 1) -> dict[str, Client]:
+    """A client of each other member, by its host's name."""
+    return {m.host_name: Client(parse_address(m.peer_addr), most) for m in settings.members}
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -197,6 +197,7 @@
         for task in self._orders.values():
             task.cancel()
         self._lines.close()
+        self.exclusions.close()
 
     def wind_up(self) -> None:
         """Begins nothing new, because the duties are about to be handed over."""
@@ -315,6 +316,7 @@
         self.wake()
 
     def _over(self, job: Job) -> None:
+        self.fleet.blame.forget_job(job.id)
         for part in self.parts:
             part.over(job)
 
@@ -424,7 +426,6 @@
             return
         log.info("job %s was cancelled; %d of its tasks are bound", job.id, job.bound_count)
         job.outcome = OUTCOME_CANCELLED
-        self.fleet.blame.forget_job(job.id)
         self._stop(job)
         self._over(job)
 
@@ -436,7 +437,6 @@
                 self._command_now(machine)
 
     def _job_over(self, job: Job) -> None:
-        self.fleet.blame.forget_job(job.id)
         if job.outcome == OUTCOME_DONE and job.done_count >= job.spec.tasks:
             spec = job.spec
             log.info(
--- a/tealrill/scheduler/blame.py
+++ b/tealrill/scheduler/blame.py
@@ -21,7 +21,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, TypeVar
 
 from tealrill.types import JobId, MachineId, Steady
 
@@ -44,6 +44,23 @@
 """Of all machines, no larger part is called faulty within `_EVIDENCE_S`."""
 
 
+_K = TypeVar("_K")
+_V = TypeVar("_V")
+
+
+def _gap_s(times: int, most_s: float) -> float:
+    """The pause after so many others, each twice as long as the one before."""
+    return min(most_s, _FIRST_GAP_S * 2.0 ** min(times, 16))
+
+
+def _keep_latest(kept: dict[_K, _V], key: _K, value: _V, most: int) -> None:
+    """Puts it behind the others, of which no more than the latest are kept."""
+    kept.pop(key, None)
+    kept[key] = value
+    while len(kept) > most:
+        del kept[next(iter(kept))]
+
+
 @dataclass(slots=True)
 class _Avoided:
     """A machine on which a job failed."""
@@ -92,27 +109,20 @@
         trial.longest_s = max(trial.longest_s, ran_s)
         if not trial.well and now >= trial.next_at:
             # Tasks that were started together fail together: that is one round.
-            gap_s = min(_MOST_GAP_S, _FIRST_GAP_S * 2.0 ** min(trial.rounds, 16))
+            trial.next_at = Steady(now + _gap_s(trial.rounds, _MOST_GAP_S))
             trial.rounds += 1
-            trial.next_at = Steady(now + gap_s)
         self._avoid(trial, machine, now)
-        while len(trial.failed_on) > _MACHINES_KEPT:
-            del trial.failed_on[next(iter(trial.failed_on))]
-        against = self._machines.setdefault(machine, {})
-        against.pop(job, None)
-        against[job] = now
-        while len(against) > _JOBS_KEPT:
-            del against[next(iter(against))]
+        _keep_latest(self._machines.setdefault(machine, {}), job, now, _JOBS_KEPT)
         return self._judge([machine], now)
 
     @staticmethod
     def _avoid(trial: _Trial, machine: MachineId, now: Steady) -> None:
         """For longer each time; it may be the only machine that there is."""
-        known = trial.failed_on.pop(machine, None) or _Avoided(0, Steady(-math.inf))
+        known = trial.failed_on.get(machine) or _Avoided(0, Steady(-math.inf))
         if now >= known.until:
-            gap_s = min(_MOST_AVOIDED_S, _FIRST_GAP_S * 2.0 ** min(known.times, 16))
-            known = _Avoided(known.times + 1, Steady(now + gap_s))
-        trial.failed_on[machine] = known
+            until = Steady(now + _gap_s(known.times, _MOST_AVOIDED_S))
+            known = _Avoided(known.times + 1, until)
+        _keep_latest(trial.failed_on, machine, known, _MACHINES_KEPT)
 
     def succeeded(self, job: JobId, machine: MachineId, now: Steady) -> list[MachineId]:
         """A task is done; machines that are faulty by what is known now."""
@@ -143,8 +153,12 @@
     # -- what follows ---------------------------------------------------------------------------
 
     def on_trial(self, job: JobId) -> bool:
+        return self._trial(job) is not None
+
+    def _trial(self, job: JobId) -> _Trial | None:
+        """Of a job that is on trial."""
         trial = self._jobs.get(job)
-        return trial is not None and not trial.well
+        return trial if trial is not None and not trial.well else None
 
     def most(self, job: JobId, bound: int, longest_s: float, now: Steady) -> int | None:
         """How many tasks of a job on trial may start now; None: as many as there are.
@@ -152,17 +166,15 @@
         `bound` of its tasks are on machines, and the one that has run longest did so for
         `longest_s` seconds.
         """
-        trial = self._jobs.get(job)
-        if trial is None or trial.well:
-            return None
-        if longest_s >= trial.survives_s:
+        trial = self._trial(job)
+        if trial is None or longest_s >= trial.survives_s:
             return None
         return 1 if bound == 0 and now >= trial.next_at else 0
 
     def survived(self, job: JobId, longest_s: float, now: Steady) -> list[MachineId]:
         """A task has run for so long; machines that are faulty if that settles it."""
-        trial = self._jobs.get(job)
-        if trial is None or trial.well or longest_s < trial.survives_s:
+        trial = self._trial(job)
+        if trial is None or longest_s < trial.survives_s:
             return []
         return self._does_well(job, now)
 
@@ -203,7 +215,7 @@
                 sure += 1
             elif trial is not None and trial.failed_on.keys() <= {machine}:
                 unclear += 1
-        return sure >= _FAULTY_JOBS or (sure + unclear >= _UNCLEAR_JOBS)
+        return sure >= _FAULTY_JOBS or sure + unclear >= _UNCLEAR_JOBS
 
     def may_drain(self, machines: int) -> bool:
         """Whether one more machine may be taken out of service for being faulty.
--- a/tealrill/state/deputy.py
+++ b/tealrill/state/deputy.py
@@ -17,8 +17,8 @@
 import msgspec
 
 from tealrill import wire
-from tealrill.http import Client, NoAnswer
-from tealrill.settings import Settings, parse_address
+from tealrill.http import Client, NoAnswer, peer_clients
+from tealrill.settings import Settings
 from tealrill.state.client import Committed, Refused, StateClient, StateError
 from tealrill.state.duty import LEADER_KEY, Fence
 from tealrill.state.election import Election, KnownLeader
@@ -61,9 +61,7 @@
         self._election = election
         self._now = now
         self._key = DEPUTY_PREFIX + settings.host_name
-        self._peers = {
-            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
-        }
+        self._peers = peer_clients(settings)
         self._misses = 0
         self._cut_since: Steady | None = None
         self._asked_at = Steady(-1e9)
--- a/tealrill/state/exclusion.py
+++ b/tealrill/state/exclusion.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from tealrill import wire
-from tealrill.http import Client
-from tealrill.settings import Settings, parse_address
+from tealrill.http import Client, peer_clients
+from tealrill.settings import Settings
 from tealrill.state.client import Committed, StateClient, StateError
 from tealrill.state.duty import Fence
 from tealrill.state.election import OUT_PREFIX, out_key
@@ -61,9 +61,7 @@
         self._term = term
         self._valid = valid
         self._now = now
-        self._peers = {
-            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
-        }
+        self._peers = peer_clients(settings)
         self._most = len(self._peers) // 2
         """Kept out at a time. In a cut the silent ones may be those that are to follow this leader:
         some must be left who need not wait first."""
@@ -94,6 +92,11 @@
                 log.debug("members that are silent: %s", error)
             await asyncio.sleep(_LOOK_EVERY_S)
 
+    def close(self) -> None:
+        """The term is over."""
+        for peer in self._peers.values():
+            peer.close()
+
     async def _read(self) -> None:
         """All records. At a term's start they are former leaders', whose fence is gone: certain."""
         entries, _ = await self._client.scan(OUT_PREFIX)
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -18,8 +18,8 @@
 import msgspec
 
 from tealrill import wire
-from tealrill.http import Client, NoAnswer
-from tealrill.settings import Settings, parse_address
+from tealrill.http import Client, NoAnswer, peer_clients
+from tealrill.settings import Settings
 from tealrill.state.acknowledged import Acknowledged
 from tealrill.state.client import StateClient, StateError
 from tealrill.state.election import SOLE_S, TTL_S, Leadership
@@ -115,9 +115,7 @@
         """Whether a member that does not answer certainly can't be elected for a while."""
         self.relied: Callable[[Leadership, Steady], None] = lambda _, __: None
         """The term is prolonged until then by that."""
-        self._peers = {
-            m.host_name: Client(parse_address(m.peer_addr), most=1) for m in settings.members
-        }
+        self._peers = peer_clients(settings)
         workers = settings.params.workers
         # A cancellation can be acknowledged right after a promise was given. The leader may then
         # go on for as long as the promise holds, and the worker for a lease longer.
@@ -205,17 +203,15 @@
 
     async def nobody_leads(self) -> bool:
         """Whether every other member says that it does not lead; no answer says nothing."""
-        said = await asyncio.gather(*(self._leads(c) for c in self._peers.values()))
-        return not any(said)
+        return all(found is not None and not found.leads for found in await self._presences())
 
     async def others_up(self) -> bool:
         """Whether any other member answers."""
-        said = await asyncio.gather(*(ask_presence(c) for c in self._peers.values()))
-        return any(found is not None for found in said)
+        return any(found is not None for found in await self._presences())
 
-    async def _leads(self, client: Client) -> bool:
-        found = await ask_presence(client)
-        return found is None or found.leads
+    async def _presences(self) -> list[Presence | None]:
+        """What every other member says of itself; None for those that say nothing."""
+        return await asyncio.gather(*map(ask_presence, self._peers.values()))
 
     def presence(self) -> Presence:
         return Presence(self._election.mine is not None, self.reports())
--- a/tests/test_deputy.py
+++ b/tests/test_deputy.py
@@ -21,7 +21,7 @@
 LEADER = KnownLeader("node-1", Token(3), Revision(7))
 
 
-class _Store:
+class Store:
     def __init__(self) -> None:
         self.keys: dict[str, tuple[Any, int]] = {LEADER_KEY: ({}, 7)}
         self.epoch = 7
@@ -69,7 +69,7 @@
 class _Side:
     """A deputy in a cut zone, with its own clock."""
 
-    def __init__(self, store: _Store) -> None:
+    def __init__(self, store: Store) -> None:
         self.now = Steady(100.0)
         client = cast(StateClient, store)
         self.election = Election(client, "node-0", lambda: None)
@@ -88,12 +88,12 @@
         return self.deputy.term(self.now)
 
 
-def _permits(store: _Store) -> Permits:
+def _permits(store: Store) -> Permits:
     return Permits(cast(StateClient, store), LEADER.term, LEADER.stamp, lambda: None)
 
 
 def test_a_deputy_renews_only_while_the_leader_is_out_of_reach() -> None:
-    side = _Side(_Store())
+    side = _Side(Store())
     assert [side.tick(), side.tick()] == [None, 3]
     side.now = Steady(side.now + PERMIT_S)
     assert side.deputy.term(side.now) is None
@@ -106,7 +106,7 @@
 
 
 def test_a_permit_ends_with_the_leader_it_is_from() -> None:
-    store = _Store()
+    store = Store()
     side = _Side(store)
     side.tick()
     store.keys[LEADER_KEY] = ({}, 9)
@@ -119,7 +119,7 @@
 
 
 def test_nothing_lapses_while_a_permit_stands_or_can_not_be_looked_for() -> None:
-    store = _Store()
+    store = Store()
     side, permits = _Side(store), _permits(store)
     assert asyncio.run(permits.stand(Steady(0.0), False)) is False
     side.tick()
@@ -131,7 +131,7 @@
 
 
 def test_a_closed_permit_is_not_confirmed_again_in_its_term() -> None:
-    store = _Store()
+    store = Store()
     side, permits = _Side(store), _permits(store)
     side.tick()
     side.tick()
@@ -145,7 +145,7 @@
 
 def test_a_permit_counts_as_ended_whenever_its_removal_was_tried() -> None:
     # Two permits: one is removed, the other has just been written anew.
-    store = _Store()
+    store = Store()
     side = _Side(store)
     side.tick()
     side.tick()
@@ -158,7 +158,7 @@
 
 
 def test_a_permit_that_serves_nobody_any_more_is_closed() -> None:
-    store = _Store()
+    store = Store()
     side, permits = _Side(store), _permits(store)
     side.tick()
     side.tick()
@@ -167,7 +167,7 @@
 
 
 def test_the_permit_of_an_older_term_is_void() -> None:
-    store = _Store()
+    store = Store()
     side = _Side(store)
     side.tick()
     side.tick()
--- a/tests/test_exclusion.py
+++ b/tests/test_exclusion.py
@@ -463,3 +463,19 @@
         assert out_key("host-1") not in world.store.keys
 
     asyncio.run(scenario())
+
+
+def test_a_terms_connections_end_with_it() -> None:
+    # One to each member stayed open with every term, until the collector came by.
+    world = World(0)
+    node = world.nodes["host-0"]
+    found = Exclusions(node.settings, node.client, Token(1), Revision(1), lambda: True, node.now)
+    closed: list[str] = []
+
+    class Peer:
+        def close(self) -> None:
+            closed.append("one")
+
+    found._peers = {host: cast(Client, Peer()) for host in _HOSTS[1:]}
+    found.close()
+    assert closed == ["one", "one"]
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -17,24 +17,17 @@
 from tealrill.state.election import TERM_KEY, Election, follows_itself
 from tealrill.types import LeaseId, Revision, Wall, wall_now
 from tests.samples import SETTINGS
+from tests.test_deputy import Store
 
 
-class _State:
-    """Keys with versions; leases are never over."""
+class _State(Store):
+    """Keys with versions, none of them at first; leases are never over."""
 
     def __init__(self) -> None:
-        self.keys: dict[str, tuple[Any, int]] = {}
+        super().__init__()
+        self.keys.clear()
         self.epoch = 0
 
-    async def get(self, key: str) -> wire.KeyValue | None:
-        entry = self.keys.get(key)
-        return None if entry is None else wire.KeyValue(value=entry[0], version=entry[1])
-
-    async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
-        found = [(k, v, r) for k, (v, r) in self.keys.items() if k.startswith(prefix)]
-        entries = [wire.Entry(key=k, value=v, version=r) for k, v, r in found]
-        return entries, Revision(self.epoch)
-
     async def watch(self, prefix: str, since: Revision, hold_s: float) -> None:
         return None
 
@@ -45,18 +38,6 @@
 
     def set_leading(self, leads: bool) -> None: ...
 
-    async def commit(self, guards: Any, changes: Any) -> Committed | Failed:
-        failed = [g["path"] for g in guards if self.keys.get(g["path"], (0, 0))[1] != g["stamp"]]
-        if failed:
-            return Failed(failed)
-        self.epoch += 1
-        for change in changes:
-            if "set" in change:
-                self.keys[change["set"]] = (change["value"], self.epoch)
-            else:
-                self.keys.pop(change["delete"], None)
-        return Committed(Revision(self.epoch))
-
 
 def _process(state: _State, host: str, others_up: bool = True) -> Election:
     """A process of this host that was just started."""
@@ -121,14 +102,14 @@
         sent.append((guards, changes))
         return Failed([])
 
-    state.commit = held  # type: ignore[method-assign]
+    state.commit = held  # type: ignore[method-assign,assignment]
     assert not _look(former)
 
     async def late_first(guards: Any, changes: Any) -> Committed | Failed:
         await execute(*sent[0])
         return await execute(guards, changes)
 
-    state.commit = late_first  # type: ignore[method-assign]
+    state.commit = late_first  # type: ignore[method-assign,assignment]
     now = _process(state, "host-0")
     assert not _look(now)
     # Nobody acts on the former process's term; the new one follows it with a later token.
--- a/tools/falls.py
+++ b/tools/falls.py
@@ -13,7 +13,7 @@
 import re
 import tomllib
 from bisect import bisect_right
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -23,6 +23,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from tools.variants import day
+
 _AT_S: Final = 200.0
 _BEFORE_S: Final = 30.0
 _AFTER_S: Final = 150.0
@@ -115,31 +117,14 @@
 # -- days -----------------------------------------------------------------------------------------
 
 
-def day(name: str, falls: Sequence[dict[str, Any]], seed: int) -> str:
-    """A day's file."""
-
-    def inline(fall: dict[str, Any]) -> str:
-        return ", ".join(f"{key} = {_toml(value)}" for key, value in fall.items())
-
-    lines = "\n".join(f"  {{ {inline(fall)} }}," for fall in falls)
-    return (
-        f'[[day]]\nname = "{name}"\nslot = "scale"\nlight = false\nseed = {seed}\n'
-        f"faults = [\n{lines}\n]\n"
-    )
-
-
-def _toml(value: Any) -> str:
-    return msgspec.json.encode(value).decode()
-
-
 def days() -> Iterator[tuple[str, str]]:
     """Name and file of every day: each kind alone, then the pairs."""
     for number, (name, fall) in enumerate(_FALLS.items()):
-        yield name, day(name, [{"at_s": _AT_S, **fall}], 301 + number)
+        yield name, day(name, 301 + number, [{"at_s": _AT_S, **fall}])
     for number, (first, second, after_s) in enumerate(_PAIRS):
         name = f"{first}+{second}"
         falls = [{"at_s": _AT_S, **_FALLS[first]}, {"at_s": _AT_S + after_s, **_FALLS[second]}]
-        yield name, day(name, falls, 331 + number)
+        yield name, day(name, 331 + number, falls)
 
 
 # -- one day --------------------------------------------------------------------------------------
