--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -32,8 +32,8 @@
 from tealrill.state.deputy import Deputy
 from tealrill.state.election import Election
 from tealrill.state.intake import Intake
-from tealrill.state.truce import PING_PATH, PROMISE_S, TRUCE_PATH, Truce
-from tealrill.types import JobId, MachineId, Revision, Steady, steady_now
+from tealrill.state.truce import PING_PATH, PROMISE_S, TRUCE_PATH, Seen, Truce
+from tealrill.types import JobId, MachineId, Steady, steady_now
 
 log = logging.getLogger(__name__)
 
@@ -73,10 +73,10 @@
         self._catalogue: wire.Catalogue | None = None
         self.intake = Intake(self._client, settings, lambda: self._catalogue)
         self.intake.counts = self._counts
-        self._truce = Truce(settings, self._client, self.election, self.intake.cancelled_since)
+        self._truce = Truce(settings, self._client, self.election, self.intake.acknowledged)
         self.election.nobody_leads = self._truce.nobody_leads
         self._deputy = Deputy(settings, self._client, self.election)
-        self._truce.seen = lambda: self.leader.seen if self.leader is not None else Revision(0)
+        self._truce.seen = lambda: self.leader.seen if self.leader is not None else Seen()
         self._truce.cancelled = self._cancelled_elsewhere
         self._last_report: Steady | None = None
         self._giveway = GiveWay(settings)
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -41,6 +41,7 @@
 from tealrill.state.duty import Duty
 from tealrill.state.election import Election, Leadership
 from tealrill.state.keeper import Deposed, Keeper
+from tealrill.state.truce import Seen
 from tealrill.types import (
     JobId,
     MachineId,
@@ -131,8 +132,8 @@
         self.dispatcher = Dispatcher(
             self.book, self.fleet, self.renter, estimates, params, self._command_now
         )
-        self.seen = Revision(0)
-        """Changes of jobs are known up to this revision."""
+        self.seen = Seen()
+        """How far changes of jobs are known."""
         term = Term(
             settings,
             client,
@@ -165,10 +166,10 @@
     async def run(self) -> None:
         """Ends when the term is over."""
         try:
-            revision = await self._load()
+            seen = await self._load()
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.keeper.run())
-                group.create_task(self._watch_jobs(revision))
+                group.create_task(self._watch_jobs(seen))
                 group.create_task(self._passes())
                 group.create_task(self._silences())
                 group.create_task(self.prober.run())
@@ -230,9 +231,10 @@
 
     # -- records --------------------------------------------------------------------------------
 
-    async def _load(self) -> Revision:
+    async def _load(self) -> Seen:
         """Reads all jobs and bindings; returns the revision from which to watch the jobs."""
         while True:
+            began = steady_now()
             try:
                 jobs, revision = await self._client.scan(JOB_PREFIX)
                 chunks, _ = await self._client.scan(RUN_PREFIX)
@@ -262,7 +264,7 @@
             len(self.book.jobs),
             len(bindings),
         )
-        return revision
+        return Seen(revision, began)
 
     def _add_job(self, key: str, value: object, stamp: Revision) -> Job | None:
         job_id = parse_job_id(key.removeprefix(JOB_PREFIX))
@@ -351,13 +353,15 @@
             record = msgspec.convert(over.value, _JobRecord)
             self.book.add(record.spec, Wall(0.0), Revision(over.version)).cancelled = True
 
-    async def _watch_jobs(self, revision: Revision) -> None:
+    async def _watch_jobs(self, seen: Seen) -> None:
         while True:
-            self.seen = revision
+            self.seen = seen
+            # What a watch answers is as of its answer, and so no older than its sending.
+            sent = steady_now()
             try:
-                result = await self._client.watch(JOB_PREFIX, revision, _WATCH_S)
+                result = await self._client.watch(JOB_PREFIX, seen.revision, _WATCH_S)
                 if result is None:
-                    revision = await self._compare_jobs()
+                    seen = Seen(await self._compare_jobs(), sent)
                     continue
             except StateError as error:
                 log.debug("watching jobs: %s", error)
@@ -365,7 +369,7 @@
                 continue
             for event in result.events:
                 self.job_changed(event)
-            revision = Revision(max(revision, result.revision))
+            seen = Seen(Revision(max(seen.revision, result.revision)), sent)
 
     def job_changed(self, event: wire.WatchEvent) -> None:
         """A record under `job/` was written or removed."""
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -67,6 +67,9 @@
         self._leads = False
         self.failing = False
         """The last exchange brought no answer, or 503."""
+        self.first_seen: Revision | None = None
+        """The revision at this process's first reading of a range; what a former process of this
+        host was answered lies before it."""
         self.requests = Budget(self._share() * limits.rps)
         self.writes = Budget(self._share() * limits.write_rps)
         self.accepts = Budget(_ACCEPT_SHARE * limits.write_rps, depth=limits.write_rps)
@@ -123,6 +126,8 @@
             entries.extend(page.items)
             if revision is None:
                 revision = Revision(page.revision)
+                if self.first_seen is None:
+                    self.first_seen = revision
             if not page.more or not page.items:
                 return entries, revision
             after = page.items[-1].key
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -18,6 +18,7 @@
 
 from tealrill import wire
 from tealrill.settings import Settings, Team
+from tealrill.state.acknowledged import Acknowledged
 from tealrill.state.book import (
     JOB_PREFIX,
     OUTCOME_CANCELLED,
@@ -41,7 +42,6 @@
 log = logging.getLogger(__name__)
 
 _REMEMBERED: Final = 20_000
-_CANCELLED_KEPT: Final = 500
 _ACCEPT_PAUSES_S: Final = (0.03, 0.06)
 """Pauses before an acceptance that the state service called too much (429) is sent again."""
 _TRIES: Final = 4
@@ -105,8 +105,7 @@
         self._value_bytes = int(settings.params.state.value_kb * 1024)
         self._catalogue = catalogue
         self._over: OrderedDict[JobId, wire.KeyValue] = OrderedDict()
-        self._cancelled: OrderedDict[str, Revision] = OrderedDict()
-        """Of jobs, and of what owns jobs."""
+        self.acknowledged = Acknowledged(lambda: client.first_seen)
         self.names: Names | None = None
         self.counts: Callable[[JobId], tuple[int, int] | None] = lambda _: None
         """Done and running tasks as the leader's memory has them; None elsewhere."""
@@ -272,6 +271,9 @@
             value = {k: v for k, v in over.value.items() if k != "spec"}
             over = wire.KeyValue(value=value, version=over.version)
             self._over[job_id] = over
+            if value["status"] == wire.JOB_CANCELLED:
+                # A poll tells a user as well, perhaps before the node that cancelled it could.
+                self.acknowledge(job_id, Revision(over.version))
             while len(self._over) > _REMEMBERED:
                 self._over.popitem(last=False)
         return over
@@ -312,8 +314,6 @@
             over = await self._read_over(job_id, Rank.FIRST)
             if over is None:
                 return await self._cancel_nameless(job_id)
-            if over.value["status"] == wire.JOB_CANCELLED:
-                self.acknowledge(job_id, Revision(over.version))
             return Reply(200, wire.accepted(job_id, over.value["status"]))
         # The description stays: a new leader needs it until the job's tasks are gone.
         record = {"status": wire.JOB_CANCELLED, "spec": entry.value["spec"]}
@@ -350,14 +350,8 @@
         return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
 
     def acknowledge(self, job_id: str, revision: Revision) -> None:
-        """From here on the user may be told; see `cancelled_since`."""
-        self._cancelled[job_id] = revision
-        while len(self._cancelled) > _CANCELLED_KEPT:
-            self._cancelled.popitem(last=False)
-
-    def cancelled_since(self, revision: Revision) -> list[str]:
-        """Cancellations acknowledged here that a leader who has seen `revision` may not know."""
-        return [job for job, at in self._cancelled.items() if at > revision]
+        """From here on the user may be told."""
+        self.acknowledged.add(job_id, revision)
 
 
 def _id_in(body: bytes) -> JobId | None:
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -9,7 +9,10 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import chain
 from typing import Final, Protocol
 
 import msgspec
@@ -17,6 +20,7 @@
 from tealrill import wire
 from tealrill.http import Client, NoAnswer
 from tealrill.settings import Settings, parse_address
+from tealrill.state.acknowledged import Acknowledged
 from tealrill.state.client import StateClient, StateError
 from tealrill.state.election import Leadership
 from tealrill.types import Revision, Steady, Token, steady_now, surely_until
@@ -45,6 +49,8 @@
     why: str = ""
     cancelled: list[str] = []
     """Jobs whose cancellation was acknowledged here after the revision that the leader has seen."""
+    vouches: bool = True
+    """These are all that this host acknowledged; a restarted process can't know that at first."""
 
 
 class Presence(msgspec.Struct, frozen=True):
@@ -73,6 +79,16 @@
         """Empty if this node will not stand before `until`; else why it can't promise that."""
 
 
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a leader knows of cancellations."""
+
+    revision: Revision = Revision(0)
+    """It knows all up to this one."""
+    at: Steady = Steady(-math.inf)
+    """Whatever was acknowledged before this moment is among them."""
+
+
 class Truce:
     """Asks for promises while this node leads, and gives them while another does."""
 
@@ -81,15 +97,15 @@
         settings: Settings,
         client: StateClient,
         election: Standing,
-        cancelled_since: Callable[[Revision], list[str]] = lambda _: [],
+        acknowledged: Acknowledged | None = None,
         now: Callable[[], Steady] = steady_now,
     ) -> None:
         self._client = client
         self._election = election
-        self._cancelled_since = cancelled_since
+        self._acknowledged = acknowledged or Acknowledged(lambda: Revision(0))
         self._now = now
-        self.seen: Callable[[], Revision] = lambda: Revision(0)
-        """The revision up to which this node, when it leads, knows of cancellations."""
+        self.seen: Callable[[], Seen] = Seen
+        """What this node, when it leads, knows of cancellations."""
         self.cancelled: Callable[[str], None] = lambda _: None
         """Tells this node's leader of a cancellation that another node has acknowledged."""
         self.reports: Callable[[], int] = lambda: 0
@@ -99,8 +115,11 @@
         workers = settings.params.workers
         # A cancellation can be acknowledged right after a promise was given. The leader may then
         # go on for as long as the promise holds, and the worker for a lease longer.
-        self.possible = PROMISE_S + workers.lease_s + _CANCEL_SPARE_S <= workers.cancel_s
+        self._unseen_s = workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S
+        """A leader may go on for so long without knowing of a cancellation."""
+        self.possible = self._unseen_s >= PROMISE_S
         self._in_truce = False
+        self._bounded = False
 
     # -- the leader's side ----------------------------------------------------------------------
 
@@ -117,11 +136,13 @@
         sent = self._now()
         if not mine.valid(sent):
             return
-        request = Request(mine.term, self.seen())
+        seen = self.seen()
+        request = Request(mine.term, seen.revision)
         answers = await asyncio.gather(*(self._ask(c, request) for c in self._peers.values()))
-        for answer in answers:
-            for job in answer.cancelled:
-                self.cancelled(job)
+        # What this node itself acknowledged may not have come back by its watch either.
+        told = [self._acknowledged.since(seen.revision), *(a.cancelled for a in answers)]
+        for job in chain.from_iterable(told):
+            self.cancelled(job)
         refused = [
             f"{name}: {a.why}"
             for name, a in zip(self._peers, answers, strict=True)
@@ -130,22 +151,35 @@
         if refused:
             log.info("term %d: no truce: %s", mine.term, "; ".join(refused))
             return
+        latest = Steady(math.inf)
+        restarted = [n for n, a in zip(self._peers, answers, strict=True) if not a.vouches]
+        if restarted:
+            # Their former processes may have acknowledged what nobody here has seen.
+            latest = Steady(seen.at + self._unseen_s)
         if not self._in_truce:
             log.info(
                 "term %d: goes on without the state service, by all others' promise", mine.term
             )
-            self._in_truce = True
-        self.extend(mine, sent)
+        if restarted and (not self._in_truce or not self._bounded):
+            log.info(
+                "term %d: for %.1f s at most, since %s can't vouch for cancellations",
+                mine.term,
+                max(0.0, latest - sent),
+                ", ".join(restarted),
+            )
+        self._in_truce = True
+        self._bounded = bool(restarted)
+        self.extend(mine, sent, latest)
 
-    def extend(self, mine: Leadership, sent: Steady) -> None:
-        """All others have promised, after `sent`.
+    def extend(self, mine: Leadership, sent: Steady, latest: Steady = Steady(math.inf)) -> None:
+        """All others have promised, after `sent`; `latest` is how far they may be relied on.
 
         Only a term that was valid all the time is prolonged. After a gap somebody else may have
         been elected, and promises given afterwards would not undo that.
         """
         if mine.valid(self._now()):
             until = surely_until(sent, PROMISE_S, _MARGIN_S)
-            mine.valid_until = max(mine.valid_until, until)
+            mine.valid_until = max(mine.valid_until, min(until, latest))
 
     async def _ask(self, client: Client, request: Request) -> Answer:
         try:
@@ -181,8 +215,9 @@
         if await self._state_answers():
             return Answer(False, "the state service answers here")
         why = self._election.promise(Token(request.term), Steady(self._now() + PROMISE_S))
-        cancelled = self._cancelled_since(Revision(request.seen))
-        return Answer(not why, why, cancelled)
+        seen = Revision(request.seen)
+        known = self._acknowledged
+        return Answer(not why, why, known.since(seen), known.all_since(seen))
 
     async def _state_answers(self) -> bool:
         try:
--- /dev/null
+++ b/tools/variants.py
@@ -0,0 +1,348 @@
+"""Variants of a deployment, and days of one's own: what operators may meet that no file shows.
+
+    python3 -m tools.variants site SITE.toml OUT.toml --machines 1.5 --traffic 1.5 --restart-s 0.2
+    python3 -m tools.variants site SITE.toml OUT.toml --zone north=3 --zone south=1
+    python3 -m tools.variants days SITE.toml DIR --theme restarts --seed 7 --count 3
+
+A variant keeps the wire file's name, so it belongs beside a copy of that file. A day is played by
+`fleetbench run VARIANT.toml DAY.toml --report R.json`; the same seed draws the same days. Figures
+that come of them are of simulated machines.
+"""
+
+from __future__ import annotations
+
+import random
+import shutil
+import tomllib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, Final
+
+import click
+import tomli_w
+
+Fault = dict[str, Any]
+Draw = Callable[[random.Random, "Site"], list[Fault]]
+
+
+class Site:
+    """The parts of a site file that troubles name."""
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        try:
+            self.nodes = int(values["nodes"]["count"])
+            self.zones = sorted({str(part["zone"]) for part in values["capacity"]})
+            self.machines = sum(
+                int(part.get("count", 0)) + int(part.get("spot", 0)) for part in values["capacity"]
+            )
+            self.types = sorted({str(part["type"]) for part in values["capacity"]})
+            self.classes = [str(job["name"]) for job in values["jobs"]]
+            self.urgent = [str(j["name"]) for j in values["jobs"] if j.get("priority") == "high"]
+        except (KeyError, TypeError, ValueError) as error:
+            raise click.UsageError(f"the site file lacks or mistypes {error}") from None
+
+
+def load(path: Path) -> dict[str, Any]:
+    """A site file's values; one line and exit status 2 where it can't be read."""
+    try:
+        return tomllib.loads(path.read_text())
+    except OSError as error:
+        raise click.UsageError(f"{path}: {error.strerror}") from None
+    except tomllib.TOMLDecodeError as error:
+        raise click.UsageError(f"{path}: {error}") from None
+
+
+# -- sites ----------------------------------------------------------------------------------------
+
+
+def scaled(
+    values: dict[str, Any],
+    machines: float,
+    traffic: float,
+    restart_s: float | None,
+    seed: int | None,
+    zones: dict[str, float],
+) -> dict[str, Any]:
+    """The same deployment with other numbers: counts are rounded up, so that none becomes zero."""
+    Site(values)
+    found: dict[str, Any] = {**values, "nodes": dict(values["nodes"])}
+    parts = values["capacity"]
+    if zones:
+        parts = _spread(parts, zones)
+    found["capacity"] = [
+        {**p, "count": _up(p.get("count", 0), machines), "spot": _up(p.get("spot", 0), machines)}
+        for p in parts
+    ]
+    found["jobs"] = [_busier(job, traffic) for job in values["jobs"]]
+    if restart_s is not None:
+        found["nodes"]["restart_delay_s"] = restart_s
+    if seed is not None:
+        found["seed"] = seed
+    return found
+
+
+def _up(count: float, factor: float) -> int:
+    return -int(-count * factor // 1)
+
+
+def _spread(parts: Sequence[dict[str, Any]], zones: dict[str, float]) -> list[dict[str, Any]]:
+    """All machines of each type over other zones, by their shares."""
+    whole = sum(zones.values())
+    found: list[dict[str, Any]] = []
+    for kind in dict.fromkeys(str(part["type"]) for part in parts):
+        of = [part for part in parts if part["type"] == kind]
+        for zone, share in zones.items():
+            counts = {
+                field: _up(sum(p.get(field, 0) for p in of), share / whole)
+                for field in ("count", "spot")
+            }
+            found.append({"type": kind, "zone": zone, **counts})
+    return found
+
+
+def _busier(job: dict[str, Any], traffic: float) -> dict[str, Any]:
+    arrivals = dict(job.get("arrivals", {}))
+    if "rate" in arrivals:
+        arrivals["rate"] = round(arrivals["rate"] * traffic, 6)
+    return {**job, "arrivals": arrivals, "initial": _up(job.get("initial", 0), traffic)}
+
+
+# -- troubles -------------------------------------------------------------------------------------
+
+
+def _crash(rng: random.Random, site: Site, count: int = 1) -> Fault:
+    return {"kind": "node_crash", "count": min(count, site.nodes), "busiest": True}
+
+
+def _cut(rng: random.Random, site: Site, **what: bool) -> Fault:
+    # Which link is lost is said by `what`; by none of them all are.
+    return {
+        "kind": "node_cut", "count": 1, "busiest": True, **what,
+        "for_s": round(rng.uniform(15, 60), 1), "mode": rng.choice(["hold", "reset", "refuse"]),
+    }  # fmt: skip
+
+
+def _outage(rng: random.Random) -> Fault:
+    return {"kind": "state_outage", "for_s": round(rng.uniform(5, 25), 1)}
+
+
+def _volley(rng: random.Random, site: Site) -> list[Fault]:
+    """All controllers, five times in ten seconds."""
+    return [{**_crash(rng, site, site.nodes), "at_s": 2.0 * n} for n in range(5)]
+
+
+def _loop(rng: random.Random, site: Site) -> list[Fault]:
+    """One controller, mostly the leader, ends again and again."""
+    return [{**_crash(rng, site), "at_s": 1.0 * n} for n in range(12)]
+
+
+def _in_outage(rng: random.Random, site: Site) -> list[Fault]:
+    count = rng.randint(1, site.nodes)
+    times = sorted(rng.uniform(0.5, 9.0) for _ in range(3))
+    return [
+        {**_outage(rng), "at_s": 0.0},
+        *({**_crash(rng, site, count), "at_s": round(at, 2)} for at in times),
+    ]
+
+
+def _in_cut(rng: random.Random, site: Site) -> list[Fault]:
+    """Restarts while packets between zones, or of the leader, are held."""
+    first: Fault
+    if len(site.zones) > 1 and rng.random() < 0.5:
+        zones = rng.sample(site.zones, 2)
+        first = {"kind": "zone_partition", "zones": zones, "for_s": 20.0, "mode": "hold"}
+    else:
+        first = {**_cut(rng, site, from_state=True), "mode": "hold"}
+    times = sorted(rng.uniform(0.2, 15.0) for _ in range(4))
+    return [
+        {**first, "at_s": 0.0},
+        *({**_crash(rng, site, rng.randint(1, 2)), "at_s": round(at, 2)} for at in times),
+    ]
+
+
+def _in_fall(rng: random.Random, site: Site) -> list[Fault]:
+    """Restarts while hundreds of machines are being replaced."""
+    lost = max(1, int(rng.uniform(0.2, 0.4) * site.machines))
+    return [
+        {"kind": "machine_die", "count": lost, "at_s": 0.0},
+        *({**_crash(rng, site, 1), "at_s": 3.0 + 2.5 * n} for n in range(4)),
+    ]
+
+
+def _rolled(rng: random.Random, site: Site) -> list[Fault]:
+    return [{"kind": "node_roll", "every_s": round(rng.uniform(1.0, 8.0), 1), "at_s": 0.0}]
+
+
+def _silent(rng: random.Random, site: Site) -> list[Fault]:
+    count = rng.randint(1, max(1, site.nodes - 1))
+    for_s = round(rng.uniform(40, 100), 1)
+    down = {"kind": "node_down", "count": count, "busiest": True, "for_s": for_s, "at_s": 0.0}
+    return [down] if rng.random() < 0.5 else [down, {**_outage(rng), "at_s": 8.0}]
+
+
+def _lost_link(rng: random.Random, site: Site) -> list[Fault]:
+    what = rng.choice([{"from_state": True}, {"from_workers": True}, {"from_state": False}])
+    return [{**_cut(rng, site, **what), "at_s": 0.0}]
+
+
+def _boots(rng: random.Random, site: Site) -> list[Fault]:
+    fail, factor = rng.choice([(0.0, 0.05), (0.3, 1.0), (0.1, 4.0), (0.0, 4.0)])
+    trouble = {"kind": "boot_trouble", "fail": fail, "factor": factor, "for_s": 180.0, "at_s": 0.0}
+    lost = max(1, int(0.15 * site.machines))
+    return [trouble, {"kind": "machine_die", "count": lost, "at_s": 5.0}]
+
+
+def _polls(rng: random.Random, site: Site) -> list[Fault]:
+    factor = rng.choice([8.0, 16.0, 24.0])
+    return [{"kind": "poll_storm", "factor": factor, "for_s": 60.0, "at_s": 0.0}]
+
+
+def _surge(rng: random.Random, site: Site) -> list[Fault]:
+    named = rng.choice(site.classes)
+    factor = round(rng.uniform(2.0, 4.0), 1)
+    return [{"kind": "job_burst", "class": named, "factor": factor, "for_s": 80.0, "at_s": 0.0}]
+
+
+def _hung(rng: random.Random, site: Site) -> list[Fault]:
+    count = max(1, int(rng.uniform(0.1, 0.4) * site.machines))
+    for_s = rng.choice([9.0, 14.0, 19.0, 45.0])
+    return [{"kind": "machine_hang", "count": count, "for_s": for_s, "at_s": 0.0}]
+
+
+def _spot(rng: random.Random, site: Site) -> list[Fault]:
+    notice_s = rng.choice([0.0, 20.0])
+    return [
+        {
+            "kind": "spot_taken", "share": round(rng.uniform(0.3, 0.9), 2), "notice_s": notice_s,
+            "over_s": 5.0, "at_s": 0.0,
+        }
+    ]  # fmt: skip
+
+
+def _slow_node(rng: random.Random, site: Site) -> list[Fault]:
+    factor = round(rng.uniform(3.0, 8.0), 1)
+    slow = {"kind": "node_slow", "count": 1, "busiest": True, "factor": factor, "for_s": 90.0}
+    return [{**slow, "at_s": 0.0}]
+
+
+def _frozen(rng: random.Random, site: Site) -> list[Fault]:
+    for_s = round(rng.uniform(2.0, 25.0), 1)
+    frozen = {"kind": "node_freeze", "count": 1, "busiest": True, "for_s": for_s, "at_s": 0.0}
+    return [frozen, {**_crash(rng, site), "at_s": round(rng.uniform(0.0, for_s), 1)}]
+
+
+THEMES: Final[dict[str, tuple[Draw, ...]]] = {
+    "restarts": (_volley, _loop, _in_outage, _in_cut, _in_fall, _rolled),
+    "silent": (_silent,),
+    "links": (_lost_link,),
+    "boots": (_boots,),
+    "polls": (_polls,),
+    "falls": (_hung, _spot, _in_fall),
+    "surges": (_surge, _in_fall),
+    "all": (
+        _volley, _in_outage, _in_cut, _in_fall, _rolled, _silent, _lost_link, _boots, _polls,
+        _surge, _hung, _spot, _slow_node, _frozen,
+    ),
+}  # fmt: skip
+_FIRST_S: Final = 100.0
+_LAST_S: Final = 440.0
+
+
+def draw(site: Site, theme: str, seed: int) -> list[Fault]:
+    """A day's troubles, one group after the other, some of them overlapping."""
+    rng = random.Random(f"{theme}/{seed}")
+    kinds = list(THEMES[theme])
+    rng.shuffle(kinds)
+    found: list[Fault] = []
+    at_s = _FIRST_S
+    while at_s < _LAST_S:
+        kind = kinds[len(found) % len(kinds)] if theme == "all" else rng.choice(kinds)
+        found += [
+            {**fault, "at_s": round(at_s + float(fault["at_s"]), 2)} for fault in kind(rng, site)
+        ]
+        at_s += rng.uniform(30.0, 90.0)
+    return sorted(found, key=lambda fault: float(fault["at_s"]))
+
+
+def day(name: str, seed: int, faults: Sequence[Fault], broken: Sequence[str] = ()) -> str:
+    """A day's file; of the classes in `broken` four in a hundred jobs are mistaken."""
+    held: dict[str, Any] = {"name": name, "slot": "scale", "light": False, "seed": seed}
+    if broken:
+        held["jobs"] = [{"name": named, "broken": 0.04} for named in broken]
+    held["faults"] = list(faults)
+    return tomli_w.dumps({"day": [held]})
+
+
+# -- commands -------------------------------------------------------------------------------------
+
+
+@click.group(help=__doc__)
+def main() -> None:
+    pass
+
+
+def _shares(_: click.Context, __: click.Parameter, given: tuple[str, ...]) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for pair in given:
+        name, _sign, share = pair.partition("=")
+        try:
+            found[name] = float(share)
+        except ValueError:
+            raise click.BadParameter(f"{pair!r} is not ZONE=SHARE") from None
+        if not name or found[name] <= 0:
+            raise click.BadParameter(f"{pair!r} is not ZONE=SHARE")
+    return found
+
+
+_FACTOR: Final = click.FloatRange(min=0.0, min_open=True, max=100.0)
+
+
+@main.command("site")
+@click.argument("site", type=click.Path(path_type=Path))
+@click.argument("out", type=click.Path(path_type=Path))
+@click.option("--machines", type=_FACTOR, default=1.0, help="Times as many machines.")
+@click.option("--traffic", type=_FACTOR, default=1.0, help="Times as many jobs.")
+@click.option("--restart-s", type=click.FloatRange(min=0.0), help="Until a process is back.")
+@click.option("--seed", type=int)
+@click.option("--zone", "zones", multiple=True, callback=_shares, help="ZONE=SHARE of machines.")
+def write_site(
+    site: Path,
+    out: Path,
+    machines: float,
+    traffic: float,
+    restart_s: float | None,
+    seed: int | None,
+    zones: dict[str, float],
+) -> None:
+    """Writes a variant, and the wire file that it names beside it."""
+    values = scaled(load(site), machines, traffic, restart_s, seed, zones)
+    out.parent.mkdir(parents=True, exist_ok=True)
+    wire = site.parent / str(values.get("wire", ""))
+    if wire.is_file() and not (out.parent / wire.name).exists():
+        shutil.copyfile(wire, out.parent / wire.name)
+    out.write_text(tomli_w.dumps(values))
+
+
+@main.command("days")
+@click.argument("site", type=click.Path(path_type=Path))
+@click.argument("where", type=click.Path(path_type=Path))
+@click.option("--theme", type=click.Choice(sorted(THEMES)), default="all")
+@click.option("--seed", type=int, default=1)
+@click.option("--count", type=click.IntRange(min=1), default=1)
+@click.option("--mistakes", is_flag=True, help="Four in a hundred jobs fail everywhere.")
+def write_days(site: Path, where: Path, theme: str, seed: int, count: int, mistakes: bool) -> None:
+    """Draws days of one theme; each file's name has the theme and its seed."""
+    found = Site(load(site))
+    where.mkdir(parents=True, exist_ok=True)
+    for each in range(seed, seed + count):
+        text = day(
+            f"{theme}-{each}",
+            each,
+            draw(found, theme, each),
+            found.classes if mistakes else (),
+        )
+        (where / f"{theme}-{each}.toml").write_text(text)
+
+
+if __name__ == "__main__":
+    main()
