A session that only a direct answer has shown has its whole lease

Cause: silence was counted from the last report that the leader answered, also when the worker's session had changed since.

Change: silence is counted from when the present session was first heard of at the earliest; its lease began before.

--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -10,7 +10,7 @@
    only if no start sent directly is unaccounted for);
 2. a message of a later session;
 3. silence for longer than the worker's lease, counted from the last report this leader answered,
-   or from its election;
+   or from its election, and from when its session was first heard of;
 4. the cloud's confirmation that the machine is gone.
 """
 
@@ -87,6 +87,8 @@
     seq: Seq = Seq(-1)
     current: bool = False
     """Its last report carried this term's token, so nothing older than it can still arrive."""
+    begun_at: Steady | None = None
+    """When its session was first heard of, in this term; the worker's lease runs from before."""
     answered_at: Steady | None = None
     heard_at: Steady | None = None
     notice_until: Steady | None = None
@@ -298,6 +300,11 @@
         self._identify(machine, report)
         if machine.session is not None and report.session > machine.session:
             self._new_session(machine, Session(report.session), now)
+        if machine.session != report.session:
+            # A session that a direct command's answer shows was never renewed from here, and its
+            # lease runs all the same. By the last answer to the session before, machines lapsed
+            # a tenth of a second after they were given tasks, and 28 tasks ran on two machines.
+            machine.begun_at = now
         first = machine.heard_at is None
         if first:
             self.came(machine, now)
@@ -643,7 +650,8 @@
 
     def _renewed_at(self, machine: Machine) -> Steady:
         own = machine.answered_at if machine.answered_at is not None else self._elected_at
-        return max(own, self._elsewhere_until)
+        begun = machine.begun_at if machine.begun_at is not None else own
+        return max(own, begun, self._elsewhere_until)
 
     def still_coming(self, now: Steady, share: float, within_s: float) -> bool:
         """Whether a new leader has yet to hear from most of the machines that are up.
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -341,6 +341,24 @@
     }
 
 
+class Outages(Cluster):
+    """Leases run out while the leader, which can't read who has a permit, calls nobody lapsed."""
+
+    def outage(self) -> None:
+        """The first that it does afterwards is to send what it had wanted before."""
+        self.now += self.random.choice([1.5, 5.0, LEASE_S + 1.0])
+        for worker in self.workers.values():
+            worker.lapse(self.now)
+        self.stop()
+        for action in (self.direct_round_trip, self.bind, self.commit, self.direct_round_trip):
+            action()
+
+    ACTIONS: ClassVar[dict[Callable[[Any], None], int]] = {
+        **Cluster.ACTIONS,
+        outage: 3,
+    }
+
+
 STEPS = 60
 
 
@@ -350,6 +368,12 @@
     Cluster(seed, Fleet).run(STEPS)
 
 
+@given(st.integers(0, 2**32))
+@settings(max_examples=1500)
+def test_no_task_is_ever_on_two_machines_after_an_outage(seed: int) -> None:
+    Outages(seed, Fleet).run(STEPS)
+
+
 class StartsBeforeTheRecord(Fleet):
     @staticmethod
     def _may_start(binding: Binding) -> bool:
@@ -389,6 +413,14 @@
         super().check_silence(now)
 
 
+class CountsSilenceFromTheSessionBefore(Fleet):
+    """A session that only a direct command's answer has shown."""
+
+    def _renewed_at(self, machine: Machine) -> Steady:
+        machine.begun_at = None
+        return super()._renewed_at(machine)
+
+
 class ForgetsClosedPermits(Fleet):
     """A deputy may act on its permit for a moment after it was closed."""
 
@@ -430,6 +462,12 @@
             Cluster(seed, mutant).run(STEPS)
 
 
+def test_a_session_counts_from_its_beginning() -> None:
+    with pytest.raises(RanTwice):
+        for seed in range(20_000):
+            Outages(seed, CountsSilenceFromTheSessionBefore).run(STEPS)
+
+
 @pytest.mark.parametrize("new_leader", [False, True])
 @pytest.mark.parametrize(
     ("fleet_class", "kept"),
@@ -471,6 +509,31 @@
     assert not list(cluster.job.bindings())
 
 
+@pytest.mark.parametrize("fleet_class", [Fleet, CountsSilenceFromTheSessionBefore])
+def test_a_session_shown_by_a_direct_answer_has_its_whole_lease(fleet_class: type[Fleet]) -> None:
+    """An outage longer than the lease, then a stop that is refused: the worker's session is new."""
+    cluster = Cluster(0, fleet_class)
+    machine = cluster.workers["m-1"]
+    for seq in (1, 2):
+        beat = report("m-1", 1, seq, cluster.term)
+        cluster.fleet.report(beat, MachineId("m-1"), Steady(cluster.now), Wall(0.0))
+    cluster.now += LEASE_S + PERMIT_S + 2.0
+    machine.lapse(cluster.now)
+    machine.seq, machine.token = 3, cluster.term
+    answer = report("m-1", machine.session, machine.seq, cluster.term)
+    cluster.fleet.direct_report(answer, MachineId("m-1"), Steady(cluster.now), Wall(0.0))
+    cluster.bind()
+    cluster.commit()
+    while not machine.tasks:
+        cluster.direct_round_trip()
+    cluster.fleet.check_silence(Steady(cluster.now))
+    assert bool(list(cluster.job.bindings())) is (fleet_class is Fleet)
+    # Nothing more is heard: its lease, counted from then, ends the binding.
+    cluster.now += LEASE_S + 1.0
+    cluster.fleet.check_silence(Steady(cluster.now))
+    assert not list(cluster.job.bindings())
+
+
 def test_a_direct_answer_is_no_proof_for_a_start_under_way() -> None:
     """The response with the start may still be on its way when a direct command is answered."""
     cluster = Cluster(0, Fleet)
