A lab: whole controllers, simulated time and troubles that meet, rules checked

Need: meetings of troubles want several real controllers. tealrill/lab plays the real Node objects of three or five controllers on a loop whose time jumps, with state service, cloud, workers and users as small state machines from the protocol; troubles are drawn from a seed, rules are checked on the world's own truth. It is not imported by the daemon. Left out: processes that stand still, processor time, sockets, lost packets, drifting clocks.

--- /dev/null
+++ b/tealrill/lab/__main__.py
@@ -0,0 +1,62 @@
+"""Simulated days of troubles, to find broken rules.
+
+    python3 -m tealrill.lab hunt --days 20 --seed 1
+    python3 -m tealrill.lab hunt --days 1 --seed 17 --log
+
+Exit status 1 if a rule broke, with the day's seed and its troubles. What a day shows is of the
+simulated world that docs/design.md tells of.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import click
+
+from tealrill.lab.world import Shape, play
+
+
+class _Format(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        return f"{record.levelname[0]} {record.name}: {record.getMessage()}"
+
+
+@click.group(help=__doc__)
+def main() -> None:
+    pass
+
+
+@main.command()
+@click.option("--days", type=click.IntRange(min=1), default=10)
+@click.option("--seed", type=click.IntRange(min=0), default=1, help="Of the first day.")
+@click.option("--nodes", type=click.IntRange(min=1, max=7), default=3)
+@click.option("--machines", type=click.IntRange(min=1, max=60), default=8)
+@click.option("--for-s", type=click.FloatRange(min=30.0, max=1000.0), default=150.0)
+@click.option("--log", is_flag=True, help="The nodes' log, at the level debug.")
+def hunt(days: int, seed: int, nodes: int, machines: int, for_s: float, log: bool) -> None:
+    """Plays days with other luck."""
+    if log:
+        handler = logging.StreamHandler(sys.stdout)
+        handler.setFormatter(_Format())
+        logging.getLogger("tealrill").addHandler(handler)
+        logging.getLogger("tealrill").setLevel(logging.DEBUG)
+    bad = 0
+    for day in range(seed, seed + days):
+        world = play(day, Shape(nodes=nodes, machines=machines), for_s)
+        done = sum(job.done for job in world.jobs.values())
+        gone = sum(job.cancelled_at is not None for job in world.jobs.values())
+        click.echo(
+            f"seed {day}: {len(world.jobs)} jobs, {done} done, {gone} cancelled, "
+            f"{world.starts} starts, {len(world.broken)} rules broken"
+        )
+        if world.broken:
+            bad += 1
+            for line in [*world.events, *(f"BROKEN {text}" for text in world.broken[:10])]:
+                click.echo(f"  {line}")
+    if bad:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tealrill/lab/troubles.py
@@ -0,0 +1,147 @@
+"""Troubles of a simulated day: several at a time, drawn from the day's seed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tealrill.lab.world import Host, World
+
+Undo = Callable[[], None]
+
+
+class Troubles:
+    """Draws meetings: one trouble after the other begins, and each lasts for a while."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.rng = world, world.rng
+
+    async def run(self, for_s: float) -> None:
+        """Ends once every trouble has ended."""
+        until = self.world.now() + for_s
+        kinds = [
+            self.refused_then_out, self.refused_then_out, self.outage, self.cut_off, self.silent,
+            self.late_writes, self.late_copies, self.deaf, self.held, self.slow, self.ends,
+            self.ends, self.volley, self.reset_links, self.machine_dies,
+        ]  # fmt: skip
+        tasks: list[asyncio.Task[None]] = []
+        while self.world.now() < until:
+            kind = self.rng.choice(kinds)
+            tasks.append(asyncio.create_task(kind()))
+            await asyncio.sleep(self.rng.choice([0.5, 2.0, 6.0, 15.0, 30.0]))
+        await asyncio.gather(*tasks)
+
+    def _busiest(self) -> Host:
+        leader = self.world.leader()
+        return leader if leader is not None else self._any()
+
+    def _any(self) -> Host:
+        return self.rng.choice(list(self.world.hosts.values()))
+
+    def _back_s(self) -> float:
+        return self.rng.choice([0.1, 0.3, 0.9, 3.0, 8.0])
+
+    async def _for(self, name: str, seconds: float, undo: Undo) -> None:
+        self.world.note(f"{name} for {seconds:.1f} s")
+        await asyncio.sleep(seconds)
+        undo()
+        self.world.note(f"{name} is over")
+
+    async def refused_then_out(self) -> None:
+        """The state service refuses the leader alone, then everybody."""
+        host, state = self._busiest(), self.world.state
+        before = self.rng.choice([0.7, 1.5, 2.5, 5.0, 12.0])
+        state.refused.add(host.name)
+        await self._for(f"{host.name} is refused", before, lambda: state.outage(True))
+        out = self.rng.choice([10.0, 35.0, 60.0])
+        await self._for("an outage", out, lambda: state.outage(False))
+        state.refused.discard(host.name)
+
+    async def outage(self) -> None:
+        self.world.state.outage(True)
+        seconds = self.rng.choice([3.0, 12.0, 30.0])
+        await self._for("an outage", seconds, lambda: self.world.state.outage(False))
+
+    async def _links(self, name: str, pairs: list[frozenset[str]], seconds: float) -> None:
+        self.world.cut.update(pairs)
+        await self._for(name, seconds, lambda: self.world.cut.difference_update(pairs))
+
+    async def cut_off(self) -> None:
+        """The leader loses state service and controllers; workers and users still reach it."""
+        host = self._busiest()
+        others = ["state", *(name for name in self.world.hosts if name != host.name)]
+        pairs = [frozenset((host.name, other)) for other in others]
+        await self._links(f"{host.name} is cut off", pairs, self.rng.choice([6.0, 20.0, 40.0]))
+
+    async def reset_links(self) -> None:
+        host = self._any()
+        pairs = [frozenset((host.name, self.rng.choice(["state", "workers", "cloud"])))]
+        await self._links(f"{host.name} loses a link", pairs, self.rng.choice([4.0, 15.0]))
+
+    async def silent(self) -> None:
+        host = self._any()
+        others = ["state", "cloud", "workers", *(n for n in self.world.hosts if n != host.name)]
+        pairs = [frozenset((host.name, other)) for other in others]
+        await self._links(f"{host.name} is silent", pairs, self.rng.choice([10.0, 40.0]))
+
+    async def late_writes(self) -> None:
+        self.world.state.late = self.rng.choice([0.1, 0.4])
+
+        def undo() -> None:
+            self.world.state.late = 0.0
+
+        await self._for("late writes", self.rng.choice([10.0, 30.0]), undo)
+
+    async def late_copies(self) -> None:
+        self.world.copies = 0.3
+
+        def undo() -> None:
+            self.world.copies = 0.0
+
+        await self._for("late copies of reports", self.rng.choice([15.0, 40.0]), undo)
+
+    async def deaf(self) -> None:
+        names = [n for n in self.world.workers if self.rng.random() < 0.4]
+        self.world.deaf.update(names)
+        seconds = self.rng.choice([5.0, 12.0, 30.0])
+        name = f"{len(names)} machines are deaf"
+        await self._for(name, seconds, lambda: self.world.deaf.difference_update(names))
+
+    async def held(self) -> None:
+        self.world.held_s = self.rng.choice([3.0, 9.0])
+
+        def undo() -> None:
+            self.world.held_s = 0.0
+
+        await self._for("commands are held", self.rng.choice([10.0, 30.0]), undo)
+
+    async def slow(self) -> None:
+        self.world.state.slow_s = self.rng.choice([0.3, 0.8, 1.6])
+
+        def undo() -> None:
+            self.world.state.slow_s = 0.0
+
+        await self._for("the state service is slow", self.rng.choice([8.0, 25.0]), undo)
+
+    async def ends(self) -> None:
+        host = self._busiest() if self.rng.random() < 0.6 else self._any()
+        for _ in range(self.rng.choice([1, 1, 4])):
+            self.world.end(host, self._back_s())
+            await asyncio.sleep(self.rng.choice([0.5, 1.0, 4.0]))
+
+    async def volley(self) -> None:
+        """All controllers, again and again; some are back at once."""
+        for _ in range(self.rng.choice([1, 3])):
+            for host in self.world.hosts.values():
+                self.world.end(host, self._back_s())
+            await asyncio.sleep(self.rng.choice([0.7, 2.0]))
+
+    async def machine_dies(self) -> None:
+        alive = [m for m in self.world.cloud.machines.values() if not m.gone]
+        if alive:
+            machine = self.rng.choice(alive)
+            self.world.note(f"{machine.id} dies")
+            machine.gone = True
+            self.world.cloud.taken(machine)
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -161,6 +161,8 @@
             self.keeper.tasks_done = self._tasks_done
             self.keeper.owner_gone = self._owner_gone
         self.exclusions = Exclusions(settings, client, mine.term, mine.stamp, self._valid)
+        self._unread: set[JobId] = set()
+        """Jobs whose record is not of this version."""
         self._wake = asyncio.Event()
         self._winding_up = False
         self._orders: dict[MachineId, asyncio.Task[None]] = {}
@@ -310,6 +312,7 @@
             record = msgspec.convert(value, _JobRecord)
         except msgspec.ValidationError as error:
             log.error("record of job %s: %s", job_id, error)
+            self._unread.add(job_id)
             return None
         self.dispatcher.submitted(record.spec, steady_now())
         job = self.book.add(record.spec, Wall(record.at), stamp)
@@ -360,13 +363,18 @@
             log.error("unknown record %s", entry.key)
             return []
         job = self.book.jobs.get(job_id)
+        if job_id in self._unread:
+            # It is for a node that can read its job.
+            return []
         if job is None:
             self.book.garbage[entry.key] = Revision(entry.version)
             return []
         try:
             return self.book.load(job, int(number), entry.value, Revision(entry.version))
         except BadRecord as error:
+            # Its tasks may run anywhere: none of the job is started as if they did not.
             log.error("record %s", error)
+            self.book.close_tasks(job)
             return []
 
     async def _load_over(self, chunks: list[wire.Entry]) -> None:
@@ -391,19 +399,25 @@
             self.book.add(record.spec, Wall(0.0), Revision(over.version)).cancelled = True
 
     async def _watch_jobs(self, seen: Seen) -> None:
+        hold_s = _WATCH_S
         while True:
             self.seen = seen
             # What a watch answers is as of its answer, and so no older than its sending.
             sent = steady_now()
+            # Where the state service answers slowly a held watch comes too late each time, and a
+            # leader that learns nothing must fall silent: then it is only asked how things are.
+            hold_s, tried_s = 0.0, hold_s
             try:
-                result = await self._client.watch(JOB_PREFIX, seen.revision, _WATCH_S)
+                result = await self._client.watch(JOB_PREFIX, seen.revision, tried_s)
                 if result is None:
                     seen = Seen(await self._compare_jobs(), sent)
+                    hold_s = _WATCH_S
                     continue
             except StateError as error:
                 log.debug("watching jobs: %s", error)
                 await asyncio.sleep(_RETRY_S)
                 continue
+            hold_s = _WATCH_S
             for event in result.events:
                 self.job_changed(event)
             seen = Seen(Revision(max(seen.revision, result.revision)), sent)
--- a/tealrill/state/book.py
+++ b/tealrill/state/book.py
@@ -492,7 +492,10 @@
                 if entry == _DONE:
                     self._load_done(job, index)
                 continue
-            bindings.extend(self._load_entry(job, chunk, index, entry))
+            try:
+                bindings.extend(self._load_entry(job, chunk, index, entry))
+            except (IndexError, TypeError, ValueError):
+                raise BadRecord(f"{job.id}/{index}: {entry!r}") from None
         for place, errors in record.errors.items():
             task = job.tasks.get(number * record.n + int(place) if place.isdigit() else -1)
             if task is not None:
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -173,7 +173,7 @@
         query = urlencode(
             {"under": prefix, "from": since, "holdMs": round(hold_s * 1000)}, safe="/"
         )
-        answer = await self._send("GET", "/watch?" + query, timeout_s=hold_s + 1.0)
+        answer = await self._send("GET", "/watch?" + query, timeout_s=max(hold_s + 1.0, 3.0))
         if answer.status == 410:
             return None
         return self._read(answer, wire.WatchResult)
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,158 @@
+"""The lab: days of whole controllers, and that each of its checks fires.
+
+A fixed set of days is played here; `python3 -m tealrill.lab hunt` plays others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from tealrill import wire
+from tealrill.fleet.dispatch import Dispatcher
+from tealrill.fleet.machines import Fleet, Machine
+from tealrill.lab.__main__ import main
+from tealrill.lab.world import Shape, World, play
+from tealrill.leader import Leader
+from tealrill.state.book import Book, Job
+from tealrill.state.client import StateClient
+from tealrill.state.intake import Intake
+from tealrill.state.intake import Reply as UserReply
+from tealrill.types import JobId, Steady
+
+_SHORT_S = 60.0
+
+
+@pytest.mark.parametrize(("seed", "nodes"), [(1, 3), (2, 3), (3, 3), (4, 5)])
+def test_no_rule_breaks_where_troubles_meet(seed: int, nodes: int) -> None:
+    world = play(seed, Shape(nodes=nodes))
+    assert not world.broken, [*world.events, *world.broken]
+    assert world.starts > 30 and sum(job.done for job in world.jobs.values()) > 10
+
+
+def test_the_same_seed_gives_the_same_day() -> None:
+    def told(world: World) -> object:
+        return world.events, world.starts, [job.answered_at for job in world.jobs.values()]
+
+    assert told(play(7, trouble_s=_SHORT_S)) == told(play(7, trouble_s=_SHORT_S))
+    assert told(play(8, trouble_s=_SHORT_S)) != told(play(7, trouble_s=_SHORT_S))
+
+
+# -- planted faults -------------------------------------------------------------------------------
+
+
+def _lapses_at_once(patch: pytest.MonkeyPatch) -> None:
+    """A machine that is silent for a moment has its tasks given away."""
+
+    def silent(self: Fleet, now: Steady) -> list[Machine]:
+        known = self.machines.values()
+        return [m for m in known if m.heard_at is not None and now - m.heard_at > 0.8]
+
+    patch.setattr(Fleet, "silent", silent)
+
+
+def _deaf_to_users(patch: pytest.MonkeyPatch) -> None:
+    """The leader never hears of a cancellation."""
+    patch.setattr(Leader, "job_cancelled", lambda *_: None)
+
+
+def _boundless(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Dispatcher, "_teams", lambda _: {})
+
+
+def _anywhere(patch: pytest.MonkeyPatch) -> None:
+    whole = Dispatcher._job
+
+    def job(self: Dispatcher, *given: Any) -> Any:
+        found = whole(self, *given)
+        found.zone = None
+        found.spot = True
+        return found
+
+    patch.setattr(Dispatcher, "_job", job)
+
+
+def _soon_done(patch: pytest.MonkeyPatch) -> None:
+    """The first task's end is the job's."""
+    whole = Book.complete
+
+    def complete(self: Book, job: Job, index: int, now: Steady) -> bool:
+        for other in range(job.spec.tasks):
+            whole(self, job, other, now)
+        return whole(self, job, index, now)
+
+    patch.setattr(Book, "complete", complete)
+
+
+def _answer(status: int, said: str) -> Callable[[pytest.MonkeyPatch], None]:
+    def fault(patch: pytest.MonkeyPatch) -> None:
+        async def answer(self: Intake, job_id: JobId) -> UserReply:
+            return UserReply(status, wire.job_status(job_id, said))
+
+        patch.setattr(Intake, "_status", answer)
+
+    return fault
+
+
+def _never_answers(patch: pytest.MonkeyPatch) -> None:
+    async def answer(self: Intake, text: str) -> UserReply:
+        return UserReply(503, {})
+
+    patch.setattr(Intake, "status", answer)
+
+
+def _idle(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Dispatcher, "run", lambda *_: None)
+
+
+def _ends_by_itself(patch: pytest.MonkeyPatch) -> None:
+    async def watch(*_: object) -> None:
+        raise ValueError("planted")
+
+    patch.setattr(StateClient, "create_lease", watch)
+
+
+@pytest.mark.parametrize(
+    ("rule", "fault"),
+    [
+        ("ran_twice", _lapses_at_once),
+        ("ran_cancelled", _deaf_to_users),
+        ("quota", _boundless),
+        ("wrong_place", _anywhere),
+        ("not_done", _soon_done),
+        ("forgotten", _answer(404, wire.JOB_PENDING)),
+        ("forgotten", _never_answers),
+        ("invented", _answer(200, wire.JOB_PENDING)),
+        ("went_back", _answer(200, wire.JOB_CANCELLED)),
+        ("nothing_ran", _idle),
+        ("ended", _ends_by_itself),
+    ],
+)
+def test_each_rule_is_watched(
+    rule: str, fault: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fault(monkeypatch)
+    # Another rule may break first; this one breaks on some short day.
+    found: set[str] = set()
+    for seed in range(1, 5):
+        limit = 16.0 if rule == "quota" else 64.0
+        world = play(seed, Shape(limit_vcpus=limit), _SHORT_S, whole=rule == "nothing_ran")
+        found.update(text.split()[1].rstrip(":") for text in world.broken)
+        if rule in found:
+            return
+    raise AssertionError(f"{rule} is not among {found}")
+
+
+def test_a_broken_rule_is_told_with_its_day(monkeypatch: pytest.MonkeyPatch) -> None:
+    args = ["hunt", "--days", "1", "--seed", "2", "--for-s", "30"]
+    fine = CliRunner().invoke(main, args)
+    assert fine.exit_code == 0 and "0 rules broken" in fine.output
+    _deaf_to_users(monkeypatch)
+    _answer(200, wire.JOB_CANCELLED)(monkeypatch)
+    bad = CliRunner().invoke(main, args)
+    assert bad.exit_code == 1
+    assert "seed 2" in bad.output and "BROKEN" in bad.output and "all troubles" in bad.output
+    assert CliRunner().invoke(main, ["hunt", "--days", "none"]).exit_code == 2
--- a/tools/margins.py
+++ b/tools/margins.py
@@ -79,7 +79,9 @@
     )
     for margin, name in sorted(ran)[:most]:
         job = jobs[name]
-        learnt = f"{job.learnt_at - job.at:+.2f} s" if job.learnt_at is not None else "never"
+        learnt = (
+            f"{job.learnt_at - job.at:+.2f} s" if job.learnt_at is not None else "from the records"
+        )
         proofs = ", ".join(f"{count} {proof}" for proof, count in job.proofs.items())
         lines.append(
             f"  {name}: confirmed by {job.by} at {job.at:.2f} s, known to the leader {learnt}, "
