--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -68,6 +68,7 @@
 _STOP_S: Final = 3.0
 """A stop takes no longer than this as a rule: it goes with every answer to a report."""
 _DIRECT_TIMEOUT_S: Final = 2.0
+_LATE_S: Final = 0.3
 _LOOK_UPS: Final = 8
 """Look-ups under way at once while the records are read."""
 
@@ -585,6 +586,7 @@
 
     async def _send_directly(self, machine: Machine, body: bytes, starts: list[Binding]) -> bool:
         """True if the commands were executed. Without an answer the starts stay unaccounted for."""
+        began = steady_now()
         try:
             answer = await self._lines.request(
                 machine.id, machine.addr, wire.COMMANDS_PATH, body, _DIRECT_TIMEOUT_S
@@ -592,7 +594,9 @@
             report = wire.decode(answer.body, wire.Report) if answer.status in (200, 409) else None
         except (NoAnswer, BadSettings, wire.Malformed) as error:
             log.info("commands for %s: %s", machine.id, error)
-            if isinstance(error, NoAnswer) and error.silent:
+            late = steady_now() - began > _DIRECT_TIMEOUT_S + _LATE_S
+            if isinstance(error, NoAnswer) and error.silent and not late:
+                # Where this node itself was late the answer may be waiting unread.
                 self.fleet.unanswered(machine)
             if isinstance(error, BadSettings) or (isinstance(error, NoAnswer) and not error.sent):
                 self.fleet.direct_refused(starts)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -29,6 +29,7 @@
 from tealrill.fleet.machines import Fleet
 from tealrill.graphs.intake import GraphIntake
 from tealrill.http import Answer as HttpAnswer
+from tealrill.http import NoAnswer
 from tealrill.leader import Leader
 from tealrill.scheduler.estimates import Estimates
 from tealrill.state import client as client_module
@@ -505,6 +506,24 @@
     assert machine.placeable(Steady(8.0), 5.0)
 
 
+@pytest.mark.parametrize(("took_s", "deaf"), [(2.0, True), (3.0, False)])
+def test_a_node_that_is_late_itself_calls_no_machine_deaf(took_s: float, deaf: bool) -> None:
+    leader, fleet, _, binding = _bound()
+    machine = fleet.machines[_MACHINE]
+    at = [0.0]
+
+    class Lines:
+        async def request(self, *_: object) -> HttpAnswer:
+            at[0] += took_s
+            raise NoAnswer("TimeoutError", True, silent=True)
+
+    leader._lines = cast(Any, Lines())
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(leader_module, "steady_now", lambda: at[0])
+        assert not asyncio.run(leader._send_directly(machine, b"", [binding]))
+    assert machine.deaf is deaf
+
+
 # -- permits --------------------------------------------------------------------------------------
 
 
