A job of which nothing has begun for two minutes has its turn among its peers

Change: of each level the job that has waited longest without having begun goes first until its first task has a place; one that was ever bound has begun.

--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -315,6 +315,7 @@
             job.owner.name if job.owner is not None else "",
             job.tail_s,
             self._fleet.blame.avoided(job.id, now),
+            bool(job.tasks) or job.done_count > 0,
         )
 
     def view_of(self, spec: wire.JobSpec, waiting: int) -> JobView:
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -161,6 +161,8 @@
     """Estimated time of the longest path of nodes behind it."""
     avoids: frozenset[MachineId] = frozenset()
     """Machines on which it failed a short while ago."""
+    begun: bool = False
+    """Any of its tasks was ever given a machine."""
 
     def may_use(self, type_name: str, zone: str, spot: bool) -> bool:
         """Whether the job allows a kind of machine."""
@@ -252,6 +254,8 @@
     """A machine that costs this much more per task than the cheapest kind is dear."""
     cheap_share: float = 0.8
     """The part of the cheap machines that is counted on when jobs are kept off the dear ones."""
+    turn_s: float = 120.0
+    """A job of which nothing has begun for so long has its turn among its peers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tealrill/scheduler/queue.py
+++ b/tealrill/scheduler/queue.py
@@ -39,6 +39,9 @@
     for number, peers, held, ahead in _levels(jobs, policy, rank_cpus or {}):
         cpus = max(fleet_cpus - held, 0.05 * fleet_cpus, 1e-6)
         places.update(_level_order(peers, -number, cpus, ahead))
+        turn = _turn(peers, policy)
+        if turn is not None:
+            places[turn] = (-number, -1, 0.0)
 
     def key(job: JobView) -> tuple[int, tuple[int, int, float], float, str]:
         team = teams.get(job.team)
@@ -51,6 +54,17 @@
     return ordered
 
 
+def _turn(jobs: list[JobView], policy: Policy) -> JobView | None:
+    """The job of a level that has waited longest without having begun, once that is too long.
+
+    In an overload those with the most work left are passed over, each time anew, and the largest
+    never begin. (Ours; the paper lets priority rise with waiting.) One at a time goes before its
+    peers, and only until its first task has a place: what it costs them is the room of one pass.
+    """
+    waits = [j for j in jobs if not j.begun and j.waited_s >= policy.turn_s]
+    return max(waits, key=lambda j: (j.waited_s, j.id), default=None)
+
+
 def _by_path(ordered: list[JobView], rank: Callable[[JobView], tuple[object, ...]]) -> None:
     """Among a graph's nodes that are equals otherwise, those with the longest path behind them.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -375,3 +375,28 @@
     task = running_task("run-1", ran_s=ran_s, guess_s=guess_s, pace=Pace(ratio))
     left_s = remaining_s(guess_s * ratio, ran_s)
     assert ends_at([task], NOW) == [pytest.approx(NOW + left_s)]
+
+
+@given(st.lists(st.tuples(st.integers(1, 300), st.floats(0.0, 599.0), st.booleans()), max_size=12))
+def test_who_has_not_begun_for_long_has_its_turn(found: list[tuple[int, float, bool]]) -> None:
+    """In an overload the largest were passed over each time anew: 15 of 65 began in time."""
+    policy = Policy()
+    jobs = [
+        job_view(
+            f"job-{number}", waiting=tasks, tasks=tasks, waited_s=waited_s, latest_s=(-1.0,),
+            begun=begun,
+        )
+        for number, (tasks, waited_s, begun) in enumerate(found)
+    ]  # fmt: skip
+    small = job_view("small-1", waited_s=1.0, latest_s=(500.0,))
+    ordered = order([*jobs, small], {}, policy, 16.0, {})
+    waits = [j for j in jobs if not j.begun and j.waited_s >= policy.turn_s]
+    if waits:
+        # One at a time, the one that has waited longest; all others behind what can be in time.
+        assert ordered[0].waited_s == max(j.waited_s for j in waits) and not ordered[0].begun
+        assert ordered[1] is small
+    else:
+        assert ordered[0] is small
+    # A higher class still goes first.
+    urgent = job_view("urgent-1", rank=2, waited_s=1.0)
+    assert order([*jobs, urgent], {}, policy, 16.0, {})[0] is urgent
