--- a/tealrill/lab/world.py
+++ b/tealrill/lab/world.py
@@ -39,7 +39,8 @@
     """One process of a controller; all its tasks end with it."""
 
     name: str
-    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    tasks: dict[asyncio.Task[Any], None] = field(default_factory=dict)
+    """In the order in which they began: by that of a set, the same seed gave other days."""
 
 
 def _task(
@@ -51,8 +52,8 @@
     found = asyncio.Task(work, loop=loop, context=context)
     process = context.get(_PROCESS) if context is not None else _PROCESS.get(None)
     if process is not None:
-        process.tasks.add(found)
-        found.add_done_callback(process.tasks.discard)
+        process.tasks[found] = None
+        found.add_done_callback(lambda task: process.tasks.pop(task, None))
     return found
 
 
