Read once more: one word for overdue stops and for deafness, a hold that is not set twice

No change of behaviour. A cancelled task's overdue stop was told in two places (Fleet._overdue now), deafness set with its touch in four (Machine.call_deaf), the leader of a term looked up in three (Node._leader_in); whether the last exchange failed is derived from the count of failures; a report no longer makes a Seen to be compared; the watch's hold is set where it changes; the lab's troubles that set a level or cut links share one way each; a constant that nobody read is gone.

--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -292,17 +292,24 @@
             await asyncio.sleep(_HAND_OVER_LOOK_S)
         await self.election.resign(why, _RESIGN_PAUSE_S)
 
-    def _kept_out(self, mine: Leadership, host: str) -> bool:
+    def _leader_in(self, mine: Leadership) -> Leader | None:
+        """The leader of just this term."""
         leader = self.leader
-        return leader is not None and leader.leads(mine) and leader.exclusions.stands(host)
+        return leader if leader is not None and leader.leads(mine) else None
+
+    def _kept_out(self, mine: Leadership, host: str) -> bool:
+        leader = self._leader_in(mine)
+        return leader is not None and leader.exclusions.stands(host)
 
     def _relied(self, mine: Leadership, until: Steady) -> None:
-        if self.leader is not None and self.leader.leads(mine):
-            self.leader.exclusions.rely(until)
+        leader = self._leader_in(mine)
+        if leader is not None:
+            leader.exclusions.rely(until)
 
     def _vouched(self, mine: Leadership, at: Steady) -> None:
-        if self.leader is not None and self.leader.leads(mine):
-            self.leader.vouched(at)
+        leader = self._leader_in(mine)
+        if leader is not None:
+            leader.vouched(at)
 
     def _cancelled_elsewhere(self, job: str) -> None:
         if self.leader is not None:
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -144,6 +144,11 @@
         self.view = None
         self.settled = None
 
+    def call_deaf(self, deaf: bool) -> None:
+        if self.deaf is not deaf:
+            self.deaf = deaf
+            self.touch()
+
     @property
     def kind(self) -> Kind:
         return self.type, self.zone, self.spot
@@ -289,13 +294,20 @@
         if machine.settled is not None:
             return False
         for b in machine.bindings.values():
-            if b.direct_out and not b.seen and b.stop is not None and b.chunk.job.cancelled:
-                overdue = now - b.stop.since > self.stop_within_s
-                if overdue:
-                    log.info("machine %s is not renewed: a start of %s is out", machine.id, b.task)
-                    return True
+            if b.direct_out and not b.seen and self._overdue(b, now):
+                log.info("machine %s is not renewed: a start of %s is out", machine.id, b.task)
+                return True
         return False
 
+    def _overdue(self, binding: Binding, now: Steady) -> bool:
+        """Whether a cancelled job's task should have been stopped by now."""
+        stop = binding.stop
+        return (
+            stop is not None
+            and binding.chunk.job.cancelled
+            and now - stop.since > self.stop_within_s
+        )
+
     def _listen(self, machine: Machine, report: wire.Report, now: Steady) -> None:
         """Whether the worker hears: it sends its next report here only once it got an answer.
 
@@ -308,24 +320,16 @@
         if report.session > machine.session:
             if answered_at is not None and now - answered_at < self._silence_s:
                 log.info("machine %s lapsed though its reports were answered", machine.id)
-                machine.deaf = True
-                machine.touch()
+                machine.call_deaf(True)
         elif machine.deaf and report.seq == machine.seq + 1 and now - heard_at < _HEARS_S:
             log.info("machine %s hears again", machine.id)
-            machine.deaf = False
-            machine.touch()
+            machine.call_deaf(False)
             self.changed()
 
-    def unanswered(self, machine: Machine) -> None:
-        """Nothing came back of a direct command. Two reports in a row show that it hears."""
-        if not machine.deaf:
-            machine.deaf = True
-            machine.touch()
-
     def unstopped(self, now: Steady) -> bool:
         """Whether a task of a cancelled job may be kept running where this leader is not heard."""
         return any(
-            b.stop is not None and b.chunk.job.cancelled and now - b.stop.since > self.stop_within_s
+            self._overdue(b, now)
             for machine in self.machines.values()
             if machine.session is not None
             and not machine.lapsed
@@ -621,9 +625,8 @@
             binding.direct_out = False
             binding.seen = True
             machine = self.machines.get(binding.machine)
-            if machine is not None and machine.deaf:
-                machine.deaf = False
-                machine.touch()
+            if machine is not None:
+                machine.call_deaf(False)
 
     def direct_refused(self, bindings: Iterable[Binding]) -> None:
         """Nothing of it was or will be executed: the worker said so, or the request never left."""
--- a/tealrill/lab/outside.py
+++ b/tealrill/lab/outside.py
@@ -14,8 +14,6 @@
 from tealrill import wire
 
 Reply = tuple[int, Any]
-_SILENCE: Final = -1
-"""A status that no answer has: none comes."""
 
 
 class NoReply(Exception):
--- a/tealrill/lab/troubles.py
+++ b/tealrill/lab/troubles.py
@@ -64,43 +64,44 @@
         seconds = self.rng.choice([3.0, 12.0, 30.0])
         await self._for("an outage", seconds, lambda: self.world.state.outage(False))
 
-    async def _links(self, name: str, pairs: list[frozenset[str]], seconds: float) -> None:
+    async def _level(self, name: str, thing: object, field: str, at: float, seconds: float) -> None:
+        """What is 0 without trouble stands at a level for a while."""
+        setattr(thing, field, at)
+        await self._for(name, seconds, lambda: setattr(thing, field, 0.0))
+
+    async def _links(self, name: str, host: Host, others: list[str], seconds: float) -> None:
+        pairs = [frozenset((host.name, other)) for other in others]
         self.world.cut.update(pairs)
-        await self._for(name, seconds, lambda: self.world.cut.difference_update(pairs))
+        await self._for(
+            f"{host.name} {name}", seconds, lambda: self.world.cut.difference_update(pairs)
+        )
+
+    def _members(self, host: Host) -> list[str]:
+        return [name for name in self.world.hosts if name != host.name]
 
     async def cut_off(self) -> None:
         """The leader loses state service and controllers; workers and users still reach it."""
         host = self._busiest()
-        others = ["state", *(name for name in self.world.hosts if name != host.name)]
-        pairs = [frozenset((host.name, other)) for other in others]
-        await self._links(f"{host.name} is cut off", pairs, self.rng.choice([6.0, 20.0, 40.0]))
+        others = ["state", *self._members(host)]
+        await self._links("is cut off", host, others, self.rng.choice([6.0, 20.0, 40.0]))
 
     async def reset_links(self) -> None:
         host = self._any()
-        pairs = [frozenset((host.name, self.rng.choice(["state", "workers", "cloud"])))]
-        await self._links(f"{host.name} loses a link", pairs, self.rng.choice([4.0, 15.0]))
+        other = self.rng.choice(["state", "workers", "cloud"])
+        await self._links("loses a link", host, [other], self.rng.choice([4.0, 15.0]))
 
     async def silent(self) -> None:
         host = self._any()
-        others = ["state", "cloud", "workers", *(n for n in self.world.hosts if n != host.name)]
-        pairs = [frozenset((host.name, other)) for other in others]
-        await self._links(f"{host.name} is silent", pairs, self.rng.choice([10.0, 40.0]))
+        others = ["state", "cloud", "workers", *self._members(host)]
+        await self._links("is silent", host, others, self.rng.choice([10.0, 40.0]))
 
     async def late_writes(self) -> None:
-        self.world.state.late = self.rng.choice([0.1, 0.4])
-
-        def undo() -> None:
-            self.world.state.late = 0.0
-
-        await self._for("late writes", self.rng.choice([10.0, 30.0]), undo)
+        share, seconds = self.rng.choice([0.1, 0.4]), self.rng.choice([10.0, 30.0])
+        await self._level("late writes", self.world.state, "late", share, seconds)
 
     async def late_copies(self) -> None:
-        self.world.copies = 0.3
-
-        def undo() -> None:
-            self.world.copies = 0.0
-
-        await self._for("late copies of reports", self.rng.choice([15.0, 40.0]), undo)
+        seconds = self.rng.choice([15.0, 40.0])
+        await self._level("late copies of reports", self.world, "copies", 0.3, seconds)
 
     async def deaf(self) -> None:
         names = [n for n in self.world.workers if self.rng.random() < 0.4]
@@ -110,20 +111,12 @@
         await self._for(name, seconds, lambda: self.world.deaf.difference_update(names))
 
     async def held(self) -> None:
-        self.world.held_s = self.rng.choice([3.0, 9.0])
-
-        def undo() -> None:
-            self.world.held_s = 0.0
-
-        await self._for("commands are held", self.rng.choice([10.0, 30.0]), undo)
+        held_s, seconds = self.rng.choice([3.0, 9.0]), self.rng.choice([10.0, 30.0])
+        await self._level("commands are held", self.world, "held_s", held_s, seconds)
 
     async def slow(self) -> None:
-        self.world.state.slow_s = self.rng.choice([0.3, 0.8, 1.6])
-
-        def undo() -> None:
-            self.world.state.slow_s = 0.0
-
-        await self._for("the state service is slow", self.rng.choice([8.0, 25.0]), undo)
+        slow_s, seconds = self.rng.choice([0.3, 0.8, 1.6]), self.rng.choice([8.0, 25.0])
+        await self._level("the state service is slow", self.world.state, "slow_s", slow_s, seconds)
 
     async def ends(self) -> None:
         host = self._busiest() if self.rng.random() < 0.6 else self._any()
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -254,7 +254,11 @@
     @property
     def known(self) -> Seen:
         """What is known of cancellations, by the watch or by word of the other members."""
-        return Seen(self.seen.revision, max(self.seen.at, self._vouched_at))
+        return Seen(self.seen.revision, self._known_at)
+
+    @property
+    def _known_at(self) -> Steady:
+        return max(self.seen.at, self._vouched_at)
 
     def informed(self, now: Steady) -> bool:
         """Whether workers may be renewed: what this leader does not know of is recent enough.
@@ -262,7 +266,7 @@
         Not before the records are read. Leaders that ended one after the other while they read
         would renew a cancelled job's worker for ever, each for a moment.
         """
-        return self.fleet.loaded and now < self.known.at + self._unseen_s
+        return self.fleet.loaded and now < self._known_at + self._unseen_s
 
     def leads(self, mine: Leadership) -> bool:
         """Whether this is that term."""
@@ -408,23 +412,23 @@
             self.seen = seen
             # What a watch answers is as of its answer, and so no older than its sending.
             sent = steady_now()
-            # Where the state service answers slowly a held watch comes too late each time, and a
-            # leader that learns nothing must fall silent: then it is only asked how things are.
-            hold_s, tried_s = 0.0, hold_s
             try:
-                result = await self._client.watch(JOB_PREFIX, seen.revision, tried_s)
+                result = await self._client.watch(JOB_PREFIX, seen.revision, hold_s)
                 if result is None:
-                    seen = Seen(await self._compare_jobs(), sent)
-                    hold_s = _WATCH_S
-                    continue
+                    revision = await self._compare_jobs()
             except StateError as error:
                 log.debug("watching jobs: %s", error)
+                # Where the state service answers slowly a held watch comes too late each time, and
+                # a leader that learns nothing must fall silent: it is only asked how things are.
+                hold_s = 0.0
                 await asyncio.sleep(_RETRY_S)
                 continue
             hold_s = _WATCH_S
-            for event in result.events:
-                self.job_changed(event)
-            seen = Seen(Revision(max(seen.revision, result.revision)), sent)
+            if result is not None:
+                for event in result.events:
+                    self.job_changed(event)
+                revision = Revision(max(seen.revision, result.revision))
+            seen = Seen(revision, sent)
 
     def job_changed(self, event: wire.WatchEvent) -> None:
         """A record under `job/` was written or removed."""
@@ -596,8 +600,9 @@
             log.info("commands for %s: %s", machine.id, error)
             late = steady_now() - began > _DIRECT_TIMEOUT_S + _LATE_S
             if isinstance(error, NoAnswer) and error.silent and not late:
-                # Where this node itself was late the answer may be waiting unread.
-                self.fleet.unanswered(machine)
+                # Two reports in a row show that it hears. Where this node itself was late the
+                # answer may be waiting unread.
+                machine.call_deaf(True)
             if isinstance(error, BadSettings) or (isinstance(error, NoAnswer) and not error.sent):
                 self.fleet.direct_refused(starts)
             return False
--- a/tealrill/state/client.py
+++ b/tealrill/state/client.py
@@ -69,10 +69,8 @@
         self._limits = limits
         self._nodes = nodes
         self._leads = False
-        self.failing = False
-        """The last exchange brought no answer, or 503."""
         self._failures = 0
-        """So many in a row did."""
+        """So many exchanges in a row brought no answer, or 503."""
         self._failed_at = -math.inf
         self.first_seen: Revision | None = None
         """The revision at this process's first reading of a range; what a former process of this
@@ -191,8 +189,12 @@
         that is over."""
         return self._failures >= _FAILURES and steady_now() - self._failed_at < _AWAY_S
 
+    @property
+    def failing(self) -> bool:
+        """The last exchange brought no answer, or 503."""
+        return self._failures > 0
+
     def _exchanged(self, failed: bool) -> None:
-        self.failing = failed
         if failed:
             self._failures += 1
             self._failed_at = steady_now()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -68,8 +68,6 @@
 
     def __init__(self, world: _World | None, host: int) -> None:
         self.world, self.host = world, host
-        self.failing = False
-        self.writes = None
 
     async def get(self, key: str) -> None:
         if self.world is None or not self.world.serves(self.host):
@@ -496,7 +494,7 @@
 def test_a_direct_command_without_an_answer_stops_new_work_until_two_reports_in_a_row() -> None:
     fleet = _heard((1, 1, 0.0), (1, 2, 1.0))
     machine = fleet.machines[_MACHINE]
-    fleet.unanswered(machine)
+    machine.call_deaf(True)
     assert not machine.placeable(Steady(1.5), 5.0)
     _beat(fleet, 4, 2.0)
     assert machine.deaf, "a report between them went elsewhere"
--- a/tools/variants.py
+++ b/tools/variants.py
@@ -238,7 +238,7 @@
 # -- meetings of troubles -------------------------------------------------------------------------
 
 
-def _alone(rng: random.Random, site: Site, for_s: float) -> Fault:
+def _alone(for_s: float) -> Fault:
     """The state service refuses the leader, while all else reaches it."""
     return {
         "kind": "node_cut", "count": 1, "busiest": True, "from_state": True,
@@ -253,7 +253,7 @@
     # It may be served again before the outage, in it, or only after it.
     refused = rng.choice([before * 0.9, before + out / 2, before + out + 5.0])
     found = [
-        _alone(rng, site, refused),
+        _alone(refused),
         {"kind": "state_outage", "for_s": out, "at_s": before},
     ]
     if rng.random() < 0.3:
