--- a/tealrill/controller.py
+++ b/tealrill/controller.py
@@ -76,7 +76,8 @@
         self.election.nobody_leads = self._truce.nobody_leads
         self.election.others_up = self._truce.others_up
         self._deputy = Deputy(settings, self._client, self.election)
-        self._truce.seen = lambda: self.leader.seen if self.leader is not None else Seen()
+        self._truce.seen = lambda: self.leader.known if self.leader is not None else Seen()
+        self._truce.vouched = self._vouched
         self._truce.cancelled = self._cancelled_elsewhere
         self._truce.kept_out = self._kept_out
         self._truce.relied = self._relied
@@ -209,12 +210,13 @@
     # -- workers --------------------------------------------------------------------------------
 
     def take_report(self, report: wire.Report, machine_id: MachineId) -> tuple[int, dict[str, Any]]:
-        """A worker's report, answered with 200 only by a leader that is valid at this moment."""
+        """A worker's report, answered with 200 only by a leader that is valid at this moment, and
+        that knows what users were told is cancelled."""
         now = steady_now()
         self._last_report = now
         self._giveway.took(now)
         mine = self.election.leading(now)
-        if mine is None or self.leader is None:
+        if mine is None or self.leader is None or not self.leader.informed(now):
             term = self._deputy.term(now)
             if term is not None and report.token <= term:
                 # The leader can't hear this worker, and waits for it.
@@ -298,6 +300,10 @@
         if self.leader is not None and self.leader.leads(mine):
             self.leader.exclusions.rely(until)
 
+    def _vouched(self, mine: Leadership, at: Steady) -> None:
+        if self.leader is not None and self.leader.leads(mine):
+            self.leader.vouched(at)
+
     def _cancelled_elsewhere(self, job: str) -> None:
         if self.leader is not None:
             self.leader.job_cancelled(job)
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -43,6 +44,10 @@
 _LEASE_DRIFT: Final = 1.001
 _LEASE_MARGIN_S: Final = 0.5
 _GONE_KEPT_S: Final = 300.0
+_NO_ANSWER_S: Final = 4.0
+"""A worker that has got no answer for so long tries another node, a second later."""
+_HEARS_S: Final = 4.8
+"""Two reports in a row within this are those of a worker that got an answer between them."""
 _IMAGES_KEPT: Final = 64
 
 
@@ -92,6 +97,8 @@
     answered_at: Steady | None = None
     heard_at: Steady | None = None
     notice_until: Steady | None = None
+    deaf: bool = False
+    """What is sent to it seems not to arrive, though its reports do."""
     lapsed: bool = False
     releasing: bool = False
     """It goes back: no room, whatever else becomes of it."""
@@ -155,6 +162,7 @@
             and not self.releasing
             and not self.draining
             and not self.strangers
+            and not self.deaf
             and self.notice_until is None
         )
 
@@ -198,7 +206,9 @@
         """A machine is gone or not known any more: nothing of it is to be kept."""
         self.blame = Blame()
         self.loaded = False
-        """Until the records are read, workers are answered with the token only."""
+        """Until the records are read, workers are not answered."""
+        self.stop_within_s = math.inf
+        """A cancelled job's stop that did not arrive for so long is left to the worker's lease."""
         self._book = book
         self._term = term
         self._elected_at = elected_at
@@ -237,10 +247,11 @@
             raise NewerToken(f"{machine_id} has seen token {report.token}")
         if machine_id in self.gone:
             return None
-        machine = self._machine_of(report, machine_id, now)
         if not self.loaded:
-            machine.answered_at = now
-            return []
+            return None
+        machine = self._machine_of(report, machine_id, now)
+        if machine.session == report.session and self._must_lapse(machine, now):
+            return None
         if self._out_of_date(machine, report):
             if machine.session == report.session and not machine.lapsed:
                 # A direct command overtook it. Its list is old, but it is the worker's report in
@@ -248,6 +259,7 @@
                 machine.answered_at = now
                 return []
             return None
+        self._listen(machine, report, now)
         machine.answered_at = now
         if not self._take_in(machine, report, now, wall, direct=False):
             return []
@@ -268,6 +280,59 @@
             and all(b.seen and b.stop is None for b in machine.bindings.values())
         )
 
+    def _must_lapse(self, machine: Machine, now: Steady) -> bool:
+        """Whether a start of a cancelled job that left directly may still arrive, long after.
+
+        Nothing takes it back but a new session: a stop of an attempt that the worker does not have
+        does nothing. Only its lease brings one.
+        """
+        if machine.settled is not None:
+            return False
+        for b in machine.bindings.values():
+            if b.direct_out and not b.seen and b.stop is not None and b.chunk.job.cancelled:
+                overdue = now - b.stop.since > self.stop_within_s
+                if overdue:
+                    log.info("machine %s is not renewed: a start of %s is out", machine.id, b.task)
+                    return True
+        return False
+
+    def _listen(self, machine: Machine, report: wire.Report, now: Steady) -> None:
+        """Whether the worker hears: it sends its next report here only once it got an answer.
+
+        One that hears nothing lapses though every report of it was answered, again and again, and
+        each time its new session took tasks that never began.
+        """
+        heard_at, answered_at = machine.heard_at, machine.answered_at
+        if machine.session is None or heard_at is None:
+            return
+        if report.session > machine.session:
+            if answered_at is not None and now - answered_at < self._silence_s:
+                log.info("machine %s lapsed though its reports were answered", machine.id)
+                machine.deaf = True
+                machine.touch()
+        elif machine.deaf and report.seq == machine.seq + 1 and now - heard_at < _HEARS_S:
+            log.info("machine %s hears again", machine.id)
+            machine.deaf = False
+            machine.touch()
+            self.changed()
+
+    def unanswered(self, machine: Machine) -> None:
+        """Nothing came back of a direct command. Two reports in a row show that it hears."""
+        if not machine.deaf:
+            machine.deaf = True
+            machine.touch()
+
+    def unstopped(self, now: Steady) -> bool:
+        """Whether a task of a cancelled job may be kept running where this leader is not heard."""
+        return any(
+            b.stop is not None and b.chunk.job.cancelled and now - b.stop.since > self.stop_within_s
+            for machine in self.machines.values()
+            if machine.session is not None
+            and not machine.lapsed
+            and self.unheard_s(machine, now) > _NO_ANSWER_S
+            for b in machine.bindings.values()
+        )
+
     def direct_report(
         self, report: wire.Report, machine_id: MachineId, now: Steady, wall: Wall
     ) -> None:
@@ -522,11 +587,21 @@
                 commands.append(wire.forget(line.task, attempt))
         if not machine.releasing:
             for binding in machine.bindings.values():
-                if binding.sent is None and not binding.seen and self._may_start(binding):
+                if binding.sent is None and not binding.seen and self._to_send(binding):
                     binding.sent = Seq(report.seq)
                     commands.append(wire.start(str(binding.task), binding.attempt))
         return commands
 
+    def _to_send(self, binding: Binding) -> bool:
+        """Whether its start goes with a report's response.
+
+        Also where the task is to be stopped, if a direct start may still arrive: started, it is
+        listed and then stopped. Its binding would stand for as long as the machine otherwise.
+        """
+        if binding.direct_out and not binding.chunk.job.cancelled:
+            return True
+        return self._may_start(binding)
+
     # -- direct starts --------------------------------------------------------------------------
 
     def direct_starts(self, machine: Machine) -> list[Binding]:
@@ -545,6 +620,10 @@
         for binding in bindings:
             binding.direct_out = False
             binding.seen = True
+            machine = self.machines.get(binding.machine)
+            if machine is not None and machine.deaf:
+                machine.deaf = False
+                machine.touch()
 
     def direct_refused(self, bindings: Iterable[Binding]) -> None:
         """Nothing of it was or will be executed: the worker said so, or the request never left."""
--- a/tealrill/graphs/intake.py
+++ b/tealrill/graphs/intake.py
@@ -181,10 +181,15 @@
             if entry is not None and head is not None and head.status != records.EXPIRED:
                 return Found(head, Revision(entry.version), None, ABSENT)
             over = await self._client.get(records.graph_over_key(graph))
+            end = None if over is None else records.read_over(over.value)
+            if over is not None and end is not None and end.status == wire.JOB_CANCELLED:
+                # Whatever is answered from it tells a user, perhaps before the node that cancelled
+                # it could; and that one may have ended since.
+                self._intake.acknowledge(graph, Revision(over.version))
             return Found(
                 head,
                 ABSENT if entry is None else Revision(entry.version),
-                None if over is None else records.read_over(over.value),
+                end,
                 ABSENT if over is None else Revision(over.version),
             )
         except BadGraphRecord as error:
@@ -544,8 +549,6 @@
         for _ in range(_TRIES):
             found = await self._find(graph)
             if found.over is not None:
-                if found.over.status == wire.JOB_CANCELLED:
-                    self._intake.acknowledge(graph, found.over_stamp)
                 return Reply(200, {"id": graph, "status": found.over.status})
             head = found.head
             if head is None or head.status == records.EXPIRED:
--- a/tealrill/http.py
+++ b/tealrill/http.py
@@ -26,11 +26,13 @@
 class NoAnswer(Exception):
     """No answer came. `sent` is False only if the request certainly never left."""
 
-    def __init__(self, why: str, sent: bool, refused: bool = False) -> None:
+    def __init__(self, why: str, sent: bool, refused: bool = False, silent: bool = False) -> None:
         super().__init__(why)
         self.sent = sent
         self.refused = refused
         """The connection was refused at once."""
+        self.silent = silent
+        """Nothing at all came within the time."""
 
 
 class Answer(httputil.HTTPMessageDelegate):
@@ -138,7 +140,8 @@
             self._close(stream)
             cause = getattr(err, "real_error", None) or err
             refused = isinstance(cause, ConnectionRefusedError)
-            raise NoAnswer(f"{type(err).__name__}: {err}", sent, refused) from None
+            silent = isinstance(err, TimeoutError)
+            raise NoAnswer(f"{type(err).__name__}: {err}", sent, refused, silent) from None
         except BaseException:
             self._close(stream)
             raise
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable, Sequence
 from typing import Any, Final
 
@@ -42,7 +43,7 @@
 from tealrill.state.election import Election, Leadership
 from tealrill.state.exclusion import Exclusions
 from tealrill.state.keeper import Deposed, Keeper
-from tealrill.state.truce import Seen
+from tealrill.state.truce import Seen, unseen_s
 from tealrill.types import (
     JobId,
     MachineId,
@@ -112,6 +113,7 @@
         self._estimates = estimates
         self.book = Book(params.state.value_kb)
         self.fleet = Fleet(self.book, mine.term, mine.elected_at, params.workers.lease_s, PERMIT_S)
+        self.fleet.stop_within_s = (params.workers.cancel_s - params.workers.lease_s) / 2
         self._permits = Permits(
             client, mine.term, mine.stamp, lambda: self.fleet.permit_ended(steady_now())
         )
@@ -138,7 +140,10 @@
             self.book, self.fleet, self.renter, estimates, params, self._command_now
         )
         self.seen = Seen()
-        """How far changes of jobs are known."""
+        """How far changes of jobs are known by the watch."""
+        self._vouched_at = Steady(-math.inf)
+        """What was acknowledged before this moment the other members have told."""
+        self._unseen_s = unseen_s(params.workers)
         term = Term(
             settings,
             client,
@@ -236,6 +241,23 @@
             )
         }
 
+    def vouched(self, at: Steady) -> None:
+        """All others have told what they had acknowledged before `at`; its own this node knows."""
+        self._vouched_at = max(self._vouched_at, at)
+
+    @property
+    def known(self) -> Seen:
+        """What is known of cancellations, by the watch or by word of the other members."""
+        return Seen(self.seen.revision, max(self.seen.at, self._vouched_at))
+
+    def informed(self, now: Steady) -> bool:
+        """Whether workers may be renewed: what this leader does not know of is recent enough.
+
+        Not before the records are read. Leaders that ended one after the other while they read
+        would renew a cancelled job's worker for ever, each for a moment.
+        """
+        return self.fleet.loaded and now < self.known.at + self._unseen_s
+
     def leads(self, mine: Leadership) -> bool:
         """Whether this is that term."""
         return self._mine is mine
@@ -420,9 +442,14 @@
                 part.cancelled(name)
             return
         job = self.book.jobs.get(job_id)
-        # A job that is being ended here is deleted by this leader itself; if its user was faster,
-        # the transaction that ends it fails and finds out.
-        if job is None or job.cancelled or job.id in self.book.ending:
+        if job is None or job.cancelled:
+            return
+        if job.id in self.book.ending:
+            # It is deleted by this leader itself; if its user was faster, the transaction that ends
+            # it fails and finds out. That may take as long as an outage, and of a job that ends
+            # without being done tasks may run: they are stopped at its end in any case.
+            if job.outcome != OUTCOME_DONE:
+                self.dispatcher.cancel(job, steady_now())
             return
         log.info("job %s was cancelled; %d of its tasks are bound", job.id, job.bound_count)
         job.outcome = OUTCOME_CANCELLED
@@ -485,12 +512,15 @@
         """Machines lapse only once it is seen that no other node could have renewed them."""
         now = steady_now()
         silent = self.fleet.silent(now)
-        if not silent:
+        # What its user was told is cancelled must not be kept running by a deputy, nor what this
+        # leader may not know of. Once its machine would have lapsed without deputies is too late:
+        # the permit's end and the worker's lease come after it, and left a second of `cancel_s`.
+        unstopped = self.fleet.unstopped(now) or not self.informed(now)
+        if not silent and not unstopped:
             await self._permits.clear()
             return
-        # What its user was told is cancelled must not be kept running by a deputy.
-        cancelled = any(b.chunk.job.cancelled for m in silent for b in m.bindings.values())
-        if not await self._permits.stand(now, close=cancelled):
+        unstopped |= any(b.chunk.job.cancelled for m in silent for b in m.bindings.values())
+        if not await self._permits.stand(now, close=unstopped):
             self.fleet.check_silence(now)
 
     # -- workers --------------------------------------------------------------------------------
@@ -545,6 +575,8 @@
             report = wire.decode(answer.body, wire.Report) if answer.status in (200, 409) else None
         except (NoAnswer, BadSettings, wire.Malformed) as error:
             log.info("commands for %s: %s", machine.id, error)
+            if isinstance(error, NoAnswer) and error.silent:
+                self.fleet.unanswered(machine)
             if isinstance(error, BadSettings) or (isinstance(error, NoAnswer) and not error.sent):
                 self.fleet.direct_refused(starts)
             return False
--- a/tealrill/state/election.py
+++ b/tealrill/state/election.py
@@ -146,6 +146,11 @@
 
     def promise(self, term: Token, until: Steady) -> str:
         """Not to stand before `until`; or why that can't be promised."""
+        if self.mine is not None and term > self.mine.term:
+            # Whoever asks was elected later, so the key of this node's term has gone. While the
+            # state service refuses this node it can't see that, and its refusal to promise ended
+            # every task in the outage that followed.
+            self.step_down(f"term {term} asks for a promise")
         if self.mine is not None:
             return "leads itself"
         if self.known is not None and self.known.term > term:
--- a/tealrill/state/exclusion.py
+++ b/tealrill/state/exclusion.py
@@ -72,6 +72,8 @@
         """Hosts whose record stands and that nothing under way removes."""
         self._relied_until = Steady(-math.inf)
         self._looks = 0
+        self._read_before = False
+        """A record found from now on may be this leader's own, with a removal under way."""
 
     def stands(self, host: str) -> bool:
         """Whether that member certainly can't be elected before it saw nobody lead for `SOLE_S`."""
@@ -84,14 +86,18 @@
     async def run(self) -> None:
         while True:
             try:
-                if self._looks % _READ_EVERY == 0:
-                    await self._read()
-                await self.look()
-                self._looks += 1
+                await self.turn()
             except StateError as error:
                 log.debug("members that are silent: %s", error)
             await asyncio.sleep(_LOOK_EVERY_S)
 
+    async def turn(self) -> None:
+        """One look, and before some of them a reading of all records."""
+        if self._looks % _READ_EVERY == 0:
+            await self._read()
+        await self.look()
+        self._looks += 1
+
     def close(self) -> None:
         """The term is over."""
         for peer in self._peers.values():
@@ -104,8 +110,11 @@
             host = entry.key.removeprefix(OUT_PREFIX)
             if host in self._peers and host not in self._certain:
                 self._records[host] = Revision(entry.version)
-                if not self._looks:
+                if not self._read_before:
                     self._certain.add(host)
+        # Not by the number of looks: one that fails is not counted, and the record whose removal
+        # had brought no answer was taken for certain again.
+        self._read_before = True
 
     async def look(self) -> None:
         """One question to every other member, and what follows from the answers."""
--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -22,6 +22,7 @@
 from tealrill.state.book import (
     JOB_PREFIX,
     OUTCOME_CANCELLED,
+    OVER_PREFIX,
     RUN_PREFIX,
     job_key,
     over_key,
@@ -229,6 +230,11 @@
                 # The owner's end is the job's, though its record is not moved yet.
                 over = await self._read_over(job_id)
                 if over is None:
+                    end = await self._client.get(OVER_PREFIX + owner, Rank.USERS)
+                    if end is None:
+                        return _unavailable("its owner's record is being moved")
+                    # The user is told here, perhaps before whoever cancelled the owner could be.
+                    self.acknowledge(owner, Revision(end.version))
                     body = wire.job_status(job_id, wire.JOB_CANCELLED)
                     return Reply(200, {**body, "outcome": OUTCOME_CANCELLED})
                 return self._final(job_id, over)
--- a/tealrill/state/keeper.py
+++ b/tealrill/state/keeper.py
@@ -212,6 +212,10 @@
             return False
         if job.outcome == OUTCOME_DONE:
             value: dict[str, Any] = {"status": wire.JOB_DONE, "tasks": job.spec.tasks}
+            if job.bound_count:
+                # A task that one machine has called done is still on another: without the
+                # description a new leader would take its binding for a leftover.
+                value["spec"] = wire.plain(job.spec)
         else:
             # The description stays: a new leader needs it until the job's tasks are gone.
             value = {
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -19,7 +19,7 @@
 
 from tealrill import wire
 from tealrill.http import Client, NoAnswer, peer_clients
-from tealrill.settings import Settings
+from tealrill.settings import Settings, Workers
 from tealrill.state.acknowledged import Acknowledged
 from tealrill.state.client import StateClient, StateError
 from tealrill.state.election import SOLE_S, TTL_S, Leadership
@@ -38,6 +38,17 @@
 _CANCEL_SPARE_S: Final = 5.0
 _SOLE_MARGIN_S: Final = 0.5
 _FOREVER: Final = Steady(math.inf)
+_LEAST_UNSEEN_S: Final = 6.0
+"""A watch that is answered in its ordinary time comes well within this."""
+
+
+def unseen_s(workers: Workers) -> float:
+    """How long a leader may renew workers without knowing of a cancellation.
+
+    A worker that is renewed at the end of it runs on for its lease. Where `cancel_s` leaves less
+    than a watch takes, nothing but the watch's ordinary pace can be asked for.
+    """
+    return max(_LEAST_UNSEEN_S, workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S)
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -110,6 +121,8 @@
         """What this node, when it leads, knows of cancellations."""
         self.cancelled: Callable[[str], None] = lambda _: None
         """Tells this node's leader of a cancellation that another node has acknowledged."""
+        self.vouched: Callable[[Leadership, Steady], None] = lambda _, __: None
+        """All that was acknowledged before that moment has been told."""
         self.reports: Callable[[], int] = lambda: 0
         self.kept_out: Callable[[Leadership, str], bool] = lambda _, __: False
         """Whether a member that does not answer certainly can't be elected for a while."""
@@ -119,9 +132,8 @@
         workers = settings.params.workers
         # A cancellation can be acknowledged right after a promise was given. The leader may then
         # go on for as long as the promise holds, and the worker for a lease longer.
-        self._unseen_s = workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S
-        """A leader may go on for so long without knowing of a cancellation."""
-        self.possible = self._unseen_s >= PROMISE_S
+        self._unseen_s = unseen_s(workers)
+        self.possible = workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S >= PROMISE_S
         self._in_truce = False
         self._bounded = False
 
@@ -157,7 +169,11 @@
             return
         latest = _FOREVER
         unknown = [n for n, a in by_name.items() if a is None or not a.vouches]
-        if unknown:
+        if not self._acknowledged.all_since(seen.revision):
+            unknown.append("this node itself")
+        if not unknown:
+            self.vouched(mine, sent)
+        else:
             # They, or their former processes, may have acknowledged what nobody here has seen.
             latest = Steady(seen.at + self._unseen_s)
         if silent:
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -280,6 +280,7 @@
 
 def _renter(answers: list[list[str] | None]) -> tuple[Renter, _Cloud, Fleet]:
     fleet = Fleet(Book(8.0), Token(1), Steady(0.0), 8.0)
+    fleet.inherit([], Steady(0.0))
     cloud = _Cloud(answers)
     renter = Renter(cast(Cloud, cloud), fleet, Token(1), 2.0, *recorded_at_once())
     return renter, cloud, fleet
--- a/tools/variants.py
+++ b/tools/variants.py
@@ -3,8 +3,11 @@
     python3 -m tools.variants site SITE.toml OUT.toml --machines 1.5 --traffic 1.5 --restart-s 0.2
     python3 -m tools.variants site SITE.toml OUT.toml --zone north=3 --zone south=1
     python3 -m tools.variants days SITE.toml DIR --theme restarts --seed 7 --count 3
+    python3 -m tools.variants days SITE.toml DIR --theme refused --cancelled 0.4 --long-s 200
 
-A variant keeps the wire file's name, so it belongs beside a copy of that file. A day is played by
+`refused` has the state service refuse the leader alone and then everybody, with other troubles in
+between; `meetings` has pairs of troubles that broke rules elsewhere. A variant keeps the wire
+file's name, so it belongs beside a copy of that file. A day is played by
 `fleetbench run VARIANT.toml DAY.toml --report R.json`; the same seed draws the same days. Figures
 that come of them are of simulated machines.
 """
@@ -232,6 +235,112 @@
     return [frozen, {**_crash(rng, site), "at_s": round(rng.uniform(0.0, for_s), 1)}]
 
 
+# -- meetings of troubles -------------------------------------------------------------------------
+
+
+def _alone(rng: random.Random, site: Site, for_s: float) -> Fault:
+    """The state service refuses the leader, while all else reaches it."""
+    return {
+        "kind": "node_cut", "count": 1, "busiest": True, "from_state": True,
+        "for_s": round(for_s, 1), "mode": "refuse", "at_s": 0.0,
+    }  # fmt: skip
+
+
+def _refused(rng: random.Random, site: Site) -> list[Fault]:
+    """The leader is refused, others confirm, then nobody is served for longer than a lease."""
+    before = rng.choice([0.7, 1.5, 2.5, 4.0, 9.0, 20.0])
+    out = rng.choice([40.0, 90.0, 90.0, 180.0])
+    # It may be served again before the outage, in it, or only after it.
+    refused = rng.choice([before * 0.9, before + out / 2, before + out + 5.0])
+    found = [
+        _alone(rng, site, refused),
+        {"kind": "state_outage", "for_s": out, "at_s": before},
+    ]
+    if rng.random() < 0.3:
+        found.append({"kind": "state_outage", "for_s": 20.0, "at_s": before + out + 3.0})
+    during = rng.uniform(0.0, before)
+    other = rng.choice([None, None, *_BETWEEN])
+    return found if other is None else [*found, {**other(rng, site), "at_s": round(during, 2)}]
+
+
+def _follower_ends(rng: random.Random, site: Site) -> Fault:
+    return {"kind": "node_crash", "count": 1, "busiest": False}
+
+
+def _leader_stands_still(rng: random.Random, site: Site) -> Fault:
+    return {"kind": "node_freeze", "count": 1, "busiest": True, "for_s": 5.0}
+
+
+def _silent_one(rng: random.Random, site: Site) -> Fault:
+    return {"kind": "node_down", "count": 1, "busiest": False, "for_s": 60.0}
+
+
+def _late_writes(rng: random.Random, site: Site) -> Fault:
+    share = rng.choice([0.1, 0.3, 0.6])
+    return {"kind": "late_writes", "share": share, "for_s": rng.choice([20.0, 60.0])}
+
+
+def _late_reports(rng: random.Random, site: Site) -> Fault:
+    share = rng.choice([0.1, 0.4])
+    return {"kind": "late_reports", "share": share, "for_s": rng.choice([30.0, 90.0])}
+
+
+def _deaf(rng: random.Random, site: Site) -> Fault:
+    where: Fault = rng.choice([{"share": 0.2}, {"share": 0.5}, {"zone": rng.choice(site.zones)}])
+    return {"kind": "machine_deaf", **where, "for_s": rng.choice([10.0, 25.0, 60.0])}
+
+
+_BETWEEN: Final[tuple[Callable[[random.Random, Site], Fault], ...]] = (
+    _follower_ends, _leader_stands_still, _silent_one, _late_writes, _late_reports, _deaf,
+)  # fmt: skip
+
+
+def _cut_off(rng: random.Random, site: Site) -> list[Fault]:
+    """A leader loses state service and controllers; workers and users still reach it."""
+    cut = {**_cut(rng, site, from_state=True, from_peers=True), "at_s": 0.0}
+    return [cut, *_some(rng, site)]
+
+
+def _ends_among_deaf(rng: random.Random, site: Site) -> list[Fault]:
+    at_s = round(rng.uniform(0.0, 6.0), 1)
+    return [{**_deaf(rng, site), "at_s": 0.0}, {**_crash(rng, site), "at_s": at_s}]
+
+
+def _late_and_ended(rng: random.Random, site: Site) -> list[Fault]:
+    ends = [round(rng.uniform(0.0, 15.0), 1) for _ in range(rng.randint(1, 4))]
+    count = rng.choice([1, site.nodes])
+    return [
+        {**_late_writes(rng, site), "at_s": 0.0},
+        *({**_crash(rng, site, count), "at_s": at_s} for at_s in ends),
+        *_some(rng, site),
+    ]
+
+
+def _late_copies(rng: random.Random, site: Site) -> list[Fault]:
+    found = [{**_late_reports(rng, site), "at_s": 0.0}, {**_crash(rng, site), "at_s": 8.0}]
+    return [*found, *_some(rng, site)]
+
+
+def _held(rng: random.Random, site: Site) -> list[Fault]:
+    """Commands and answers held, and then a change of leader."""
+    count = max(1, int(0.2 * site.machines))
+    hang = {"kind": "machine_hang", "count": count, "for_s": rng.choice([3.0, 8.0, 14.0])}
+    return [{**hang, "at_s": 0.0}, {**_crash(rng, site), "at_s": 2.0}, *_some(rng, site)]
+
+
+def _slow_outage(rng: random.Random, site: Site) -> list[Fault]:
+    return [*_refused(rng, site), {"kind": "poll_storm", "factor": 8.0, "for_s": 60.0, "at_s": 0.0}]
+
+
+def _some(rng: random.Random, site: Site) -> list[Fault]:
+    """Mostly another trouble beside."""
+    if rng.random() < 0.3:
+        return []
+    number = rng.randint(0, len(_BETWEEN))
+    other = _BETWEEN[number](rng, site) if number < len(_BETWEEN) else _outage(rng)
+    return [{**other, "at_s": round(rng.uniform(0.0, 12.0), 1)}]
+
+
 THEMES: Final[dict[str, tuple[Draw, ...]]] = {
     "restarts": (_volley, _loop, _in_outage, _in_cut, _in_fall, _rolled),
     "silent": (_silent,),
@@ -240,6 +349,11 @@
     "polls": (_polls,),
     "falls": (_hung, _spot, _in_fall),
     "surges": (_surge, _in_fall),
+    "refused": (_refused,),
+    "meetings": (
+        _refused, _cut_off, _ends_among_deaf, _late_and_ended, _late_copies, _held, _slow_outage,
+        _volley, _rolled,
+    ),
     "all": (
         _volley, _in_outage, _in_cut, _in_fall, _rolled, _silent, _lost_link, _boots, _polls,
         _surge, _hung, _spot, _slow_node, _frozen,
@@ -247,6 +361,8 @@
 }  # fmt: skip
 _FIRST_S: Final = 100.0
 _LAST_S: Final = 440.0
+_LAST_REFUSED_S: Final = 300.0
+"""Some of it lasts for minutes, and the day is to end well after it."""
 
 
 def draw(site: Site, theme: str, seed: int) -> list[Fault]:
@@ -256,20 +372,32 @@
     rng.shuffle(kinds)
     found: list[Fault] = []
     at_s = _FIRST_S
-    while at_s < _LAST_S:
+    while at_s < (_LAST_REFUSED_S if theme == "refused" else _LAST_S):
         kind = kinds[len(found) % len(kinds)] if theme == "all" else rng.choice(kinds)
-        found += [
-            {**fault, "at_s": round(at_s + float(fault["at_s"]), 2)} for fault in kind(rng, site)
-        ]
+        group = kind(rng, site)
+        found += [{**fault, "at_s": round(at_s + float(fault["at_s"]), 2)} for fault in group]
         at_s += rng.uniform(30.0, 90.0)
+        if theme == "refused":
+            # The state service is to be back before the next one.
+            at_s += max(float(fault["at_s"]) + float(fault.get("for_s", 0.0)) for fault in group)
     return sorted(found, key=lambda fault: float(fault["at_s"]))
 
 
-def day(name: str, seed: int, faults: Sequence[Fault], broken: Sequence[str] = ()) -> str:
-    """A day's file; of the classes in `broken` four in a hundred jobs are mistaken."""
+def day(
+    name: str,
+    seed: int,
+    faults: Sequence[Fault],
+    broken: Sequence[str] = (),
+    jobs: Sequence[dict[str, Any]] = (),
+) -> str:
+    """A day's file; of the classes in `broken` four in a hundred jobs are mistaken, and `jobs`
+    says what else is different of a class."""
     held: dict[str, Any] = {"name": name, "slot": "scale", "light": False, "seed": seed}
-    if broken:
-        held["jobs"] = [{"name": named, "broken": 0.04} for named in broken]
+    changed = {str(job["name"]): dict(job) for job in jobs}
+    for named in broken:
+        changed.setdefault(named, {"name": named})["broken"] = 0.04
+    if changed:
+        held["jobs"] = list(changed.values())
     held["faults"] = list(faults)
     return tomli_w.dumps({"day": [held]})
 
@@ -324,6 +452,20 @@
     out.write_text(tomli_w.dumps(values))
 
 
+def _changed(
+    name: str, site: Site, cancelled: float | None, long_s: float | None
+) -> dict[str, Any]:
+    job: dict[str, Any] = {"name": name}
+    if cancelled is not None:
+        job["cancelled"] = cancelled
+    if long_s is not None and name not in site.urgent:
+        job["run_s"] = {"median": long_s, "p95": 1.5 * long_s, "max": 2.0 * long_s}
+    return job
+
+
+_FACTOR_S: Final = click.FloatRange(min=1.0)
+
+
 @main.command("days")
 @click.argument("site", type=click.Path(path_type=Path))
 @click.argument("where", type=click.Path(path_type=Path))
@@ -331,9 +473,21 @@
 @click.option("--seed", type=int, default=1)
 @click.option("--count", type=click.IntRange(min=1), default=1)
 @click.option("--mistakes", is_flag=True, help="Four in a hundred jobs fail everywhere.")
-def write_days(site: Path, where: Path, theme: str, seed: int, count: int, mistakes: bool) -> None:
+@click.option("--cancelled", type=click.FloatRange(0.0, 1.0), help="Share of jobs cancelled.")
+@click.option("--long-s", type=_FACTOR_S, help="Run time of the tasks that are not urgent.")
+def write_days(
+    site: Path,
+    where: Path,
+    theme: str,
+    seed: int,
+    count: int,
+    mistakes: bool,
+    cancelled: float | None,
+    long_s: float | None,
+) -> None:
     """Draws days of one theme; each file's name has the theme and its seed."""
     found = Site(load(site))
+    jobs = [_changed(name, found, cancelled, long_s) for name in found.classes]
     where.mkdir(parents=True, exist_ok=True)
     for each in range(seed, seed + count):
         text = day(
@@ -341,6 +495,7 @@
             each,
             draw(found, theme, each),
             found.classes if mistakes else (),
+            [job for job in jobs if len(job) > 1],
         )
         (where / f"{theme}-{each}.toml").write_text(text)
 
