Submissions: the refusing field is named, what can't be told is not called malformed

A generated test draws a valid job, spoils one thing and holds status and field against the protocol. Absent builds, hall and dueS stay accepted: the protocol says that what may be null may be omitted. 422 now names its field. A repetition of a node of a graph whose owner's record is being moved got 400 for a malformed body; it gets 503. A poll reads the counts first and the record last, so what it tells is as old as one answer's way. Two stand-ins of tests answer ranges as the protocol does.

--- a/tealrill/state/intake.py
+++ b/tealrill/state/intake.py
@@ -152,16 +152,23 @@
             return Reply(400, {"error": "the job's description is too long - at `$.builds`"})
         team = self._teams.get(spec.team)
         if team is None:
-            return Reply(422, {"error": f"unknown team {spec.team!r}"})
+            return Reply(422, {"error": f"unknown team {spec.team!r} - at `$.crew`"})
         catalogue = self._catalogue()
         if catalogue is None:
             return _unavailable("the machine types are not known yet")
-        if not any(_fits(spec, kind) for kind in catalogue.types):
-            return Reply(422, {"error": "a task fits no allowed machine type"})
+        field = _fits_nothing(spec, catalogue)
+        if field is not None:
+            return Reply(422, {"error": f"a task fits no allowed machine type - at `$.{field}`"})
+        # What a machine or a zone holds at a time is no limit on an array, whose tasks may follow
+        # each other; a service's and a gang's run all at once.
         tasks = spec.tasks if spec.is_service or spec.is_gang else 1
-        for need, most in ((spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)):
+        for field, need, most in (
+            ("vcpus", spec.cpus, team.cpus_max),
+            ("gpus", spec.gpus, team.gpus_max),
+        ):
             if most > 0 and need * tasks > most:
-                return Reply(422, {"error": "the job needs more than the team's limit"})
+                why = f"the job needs more than the team's limit - at `$.{field}`"
+                return Reply(422, {"error": why})
         return None
 
     def _reach(self) -> None:
@@ -213,8 +220,13 @@
         return _unavailable(why, elsewhere)
 
     async def _known(self, job_id: JobId) -> Reply | None:
-        """The answer to a repeated submission; None if the job is not known."""
+        """The answer to a repeated submission; None if the job is not known.
+
+        What can't be told at this moment is no leave to call it malformed: it may be accepted.
+        """
         reply = await self._status(job_id)
+        if reply.status == 503:
+            return reply
         if reply.status != 200:
             return None
         return Reply(200, wire.accepted(job_id, reply.body["status"]))
@@ -235,6 +247,9 @@
         over = self._over.get(job_id)
         if over is None:
             self._reach()
+            # The counts may lag, the record may not: read first, it was as old as the counts' way
+            # when it was told, and another node had said `done` meanwhile.
+            done, running = await self._counts(job_id)
             entry = await self._client.get(job_key(job_id), Rank.USERS)
             owner = entry.value.get("owner") if entry is not None else None
             if owner is not None and await self._client.get(JOB_PREFIX + owner, Rank.USERS) is None:
@@ -250,7 +265,6 @@
                     return Reply(200, {**body, "outcome": OUTCOME_CANCELLED})
                 return self._final(job_id, over)
             if entry is not None:
-                done, running = await self._counts(job_id)
                 status = wire.JOB_RUNNING if running else wire.JOB_PENDING
                 return Reply(200, wire.job_status(job_id, status, done, running))
             over = await self._read_over(job_id)
@@ -382,11 +396,18 @@
     return parse_job_id(text) if isinstance(text, str) else None
 
 
-def _fits(spec: wire.JobSpec, kind: wire.MachineType) -> bool:
-    return (
-        (spec.types is None or kind.name in spec.types)
-        and (spec.zone is None or spec.zone in kind.zones)
-        and spec.cpus <= kind.cpus
-        and spec.gpus <= kind.gpus
-        and spec.memory_gb <= kind.memory_gb
+def _fits_nothing(spec: wire.JobSpec, catalogue: wire.Catalogue) -> str | None:
+    """The field that leaves no machine type for a task; None if there is one."""
+    left = catalogue.types
+    conditions: tuple[tuple[str, Callable[[wire.MachineType], bool]], ...] = (
+        ("builds", lambda kind: spec.types is None or kind.name in spec.types),
+        ("hall", lambda kind: spec.zone is None or spec.zone in kind.zones),
+        ("vcpus", lambda kind: spec.cpus <= kind.cpus),
+        ("gpus", lambda kind: spec.gpus <= kind.gpus),
+        ("memoryGb", lambda kind: spec.memory_gb <= kind.memory_gb),
     )
+    for field, holds in conditions:
+        left = [kind for kind in left if holds(kind)]
+        if not left:
+            return field
+    return None
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -561,6 +561,9 @@
         entry = self.keys.get(key)
         return None if entry is None else wire.KeyValue(value=entry[0], version=entry[1])
 
+    async def scan(self, prefix: str, rank: Rank = Rank.FIRST) -> tuple[list[wire.Entry], Revision]:
+        return [], Revision(1)
+
 
 _GRAPH_OVER = {"v": 1, "status": "aborted", "at": 1.0, "digest": "d", "nodes": 2, "counts": {}}
 _NODE = {"spec": wire.plain(spec(id="lab1-0")), "at": 1.0, "owner": "lab1"}
@@ -668,6 +671,9 @@
         asked.append(path)
         found = HttpAnswer()
         found.status, found.body = answers[-1], b'{"epoch":1}'
+        if path.startswith("/kv?") and answers[-1] == 404:
+            # A range without keys is an answer.
+            found.status, found.body = 200, b'{"entries":[],"truncated":false,"epoch":1}'
         return found
 
     client._http.request = request  # type: ignore[method-assign,assignment]
--- /dev/null
+++ b/tests/test_submissions.py
@@ -0,0 +1,252 @@
+"""Which jobs are taken: 400 for what is malformed, 422 for what can never run, and why.
+
+A valid job is drawn, one thing of it is spoiled, and the answer's status and the field that it
+names are held against the protocol. Nothing of this costs a change of the state service.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from tealrill import settings, wire
+from tealrill.state.budget import Rank
+from tealrill.state.client import Committed, StateClient
+from tealrill.state.intake import Intake, Reply
+from tealrill.types import Revision
+from tests.samples import SETTINGS, SUBMISSION
+
+_CATALOGUE = wire.decode(
+    orjson.dumps(
+        {
+            "builds": [
+                {
+                    "label": label, "vcpus": cpus, "gpus": gpus, "memoryGb": memory, "price": 1.0,
+                    "marketPrice": 0.4, "startupS": 20, "halls": halls,
+                }
+                for label, cpus, gpus, memory, halls in (
+                    ("small", 8, 0, 32, ["north", "south"]),
+                    ("large", 64, 4, 256, ["south"]),
+                )
+            ]
+        }
+    ),
+    wire.Catalogue,
+)  # fmt: skip
+_LIMIT = 64.0
+"""Processors that team `red` may use; `blue` has no limit."""
+_NULLABLE = ("builds", "hall", "dueS")
+"""The protocol: where a field may be null, it may also be omitted."""
+_AMOUNTS = ("vcpus", "gpus", "memoryGb", "sizeGb", "guessS", "snapshotS", "flushS")
+_TEXTS = ("lineup", "crew", "bundle")
+_FLAGS = ("samePlace", "scatter", "loaners")
+
+
+class _Client:
+    """As much of the state service as an acceptance needs."""
+
+    away = False
+    first_seen = Revision(1)
+
+    def __init__(self, **keys: Any) -> None:
+        self.keys = keys
+        self.committed = 0
+        self.accepts = self
+
+    def take_now(self) -> bool:
+        return True
+
+    async def get(self, key: str, rank: Rank = Rank.FIRST) -> wire.KeyValue | None:
+        return wire.KeyValue(value=self.keys[key], version=3) if key in self.keys else None
+
+    async def scan(self, prefix: str, rank: Rank = Rank.FIRST) -> tuple[list[wire.Entry], Revision]:
+        return [], Revision(3)
+
+    async def commit(self, guards: Any, changes: Any, paid: bool = False) -> Committed:
+        self.committed += len(changes)
+        return Committed(Revision(4))
+
+
+def _submit(body: bytes, client: _Client, catalogue: wire.Catalogue | None = _CATALOGUE) -> Reply:
+    parsed = settings.parse(orjson.dumps(SETTINGS))
+    intake = Intake(cast(StateClient, client), parsed, lambda: catalogue)
+    return asyncio.run(intake.submit(body))
+
+
+@st.composite
+def _jobs(draw: st.DrawFn) -> dict[str, Any]:
+    """Jobs that can run: a task fits a machine, and the team's limit leaves room."""
+    shape = draw(st.sampled_from(["sweep", "standing"]))
+    pieces = draw(st.integers(1, 8))
+    found = {
+        **SUBMISSION,
+        "shape": shape,
+        "urgency": draw(st.sampled_from(["production", "urgent", "standard", "idle"])),
+        "crew": draw(st.sampled_from(["red", "blue"])),
+        "pieces": pieces if shape == "standing" else draw(st.sampled_from([pieces, 100_000])),
+        "vcpus": draw(st.sampled_from([0.5, 4, 8.0])),
+        "memoryGb": draw(st.sampled_from([0.0, 8.0, 32])),
+        "builds": draw(st.sampled_from([None, ["small"], ["small", "other"]])),
+        "hall": draw(st.sampled_from([None, "north", "south"])),
+        "dueS": draw(st.sampled_from([None, 0.0, 600])),
+        # Contradictions as they seem: an array's tasks may follow each other, and a service whose
+        # tasks can't all run at once is none of what the protocol calls impossible.
+        "samePlace": draw(st.booleans()),
+        "scatter": draw(st.booleans()),
+        "loaners": draw(st.booleans()),
+    }
+    for name in _NULLABLE:
+        if found[name] is None and draw(st.booleans()):
+            del found[name]
+    return found
+
+
+_MALFORMED = st.one_of(
+    st.sampled_from([name for name in SUBMISSION if name not in _NULLABLE]).map(lambda n: (n, ...)),
+    st.tuples(
+        st.sampled_from(_AMOUNTS),
+        st.sampled_from([None, "4", -1.0, -1e-9, 1e10, True, [4.0], {}]),
+    ),
+    st.tuples(st.just("dueS"), st.sampled_from(["soon", -1.0, False, 1e10])),
+    st.tuples(st.sampled_from(_TEXTS), st.sampled_from([None, "", 7, "x" * 101, ["blue"]])),
+    st.tuples(st.sampled_from(_FLAGS), st.sampled_from([None, 0, 1, "true"])),
+    st.tuples(
+        st.just("pieces"), st.sampled_from([None, 0, -1, 100_001, 1.5, "6", True, 2**63])
+    ),
+    st.tuples(st.just("shape"), st.sampled_from([None, "", "circle", 3])),
+    st.tuples(st.just("urgency"), st.sampled_from([None, "", "high", 3])),
+    st.tuples(st.just("builds"), st.sampled_from(["small", [None], [""], [7], {}])),
+    st.tuples(st.just("hall"), st.sampled_from(["", 7, ["north"]])),
+    st.tuples(st.just("id"), st.sampled_from([None, "", 7, "wk", "wk-", "a/b-1", "x" * 200])),
+)  # fmt: skip
+
+_IMPOSSIBLE = st.one_of(
+    st.tuples(st.just("crew"), st.sampled_from(["nobody", "Red"])),
+    st.tuples(st.just("builds"), st.sampled_from([[], ["other"], ["Small"]])),
+    st.tuples(st.just("hall"), st.sampled_from(["elsewhere", "North"])),
+    st.tuples(st.just("vcpus"), st.sampled_from([64.1, 1e9])),
+    st.tuples(st.just("gpus"), st.sampled_from([5.0, 1e9])),
+    st.tuples(st.just("memoryGb"), st.sampled_from([256.1, 1e9])),
+)
+
+
+@given(_jobs())
+@hypothesis_settings(max_examples=150, deadline=None, derandomize=True)
+def test_what_can_run_is_taken(job: dict[str, Any]) -> None:
+    client = _Client()
+    reply = _submit(orjson.dumps(job), client)
+    assert (reply.status, client.committed) == (201, 1), reply.body
+
+
+@given(_jobs(), _MALFORMED)
+@hypothesis_settings(max_examples=300, deadline=None, derandomize=True)
+def test_what_is_malformed_is_refused_and_its_field_named(
+    job: dict[str, Any], spoiled: tuple[str, Any]
+) -> None:
+    field, value = spoiled
+    changed = {**job, field: value}
+    if value is ...:
+        del changed[field]
+    client = _Client()
+    reply = _submit(orjson.dumps(changed), client)
+    assert (reply.status, client.committed, reply.retry_after_s) == (400, 0, None)
+    assert field in reply.body["error"], reply.body
+
+
+@given(_jobs(), _IMPOSSIBLE)
+@hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+def test_what_can_never_run_is_refused_and_its_field_named(
+    job: dict[str, Any], spoiled: tuple[str, Any]
+) -> None:
+    field, value = spoiled
+    client = _Client()
+    reply = _submit(orjson.dumps({**job, "builds": None, "hall": None, field: value}), client)
+    assert (reply.status, client.committed, reply.retry_after_s) == (422, 0, None)
+    assert f"`$.{field}`" in reply.body["error"], reply.body
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"builds": ["small"], "vcpus": 9.0}, "vcpus"),
+        ({"hall": "north", "gpus": 1.0}, "gpus"),
+        ({"hall": "north", "builds": ["large"]}, "hall"),
+        ({"hall": "north", "vcpus": 64.0}, "vcpus"),
+    ],
+)
+def test_no_machine_type_is_both_allowed_and_large_enough(
+    changes: dict[str, Any], field: str
+) -> None:
+    reply = _submit(orjson.dumps({**SUBMISSION, **changes}), _Client())
+    assert reply.status == 422 and f"`$.{field}`" in reply.body["error"]
+
+
+@pytest.mark.parametrize(
+    ("shape", "pieces", "vcpus", "status"),
+    [
+        # An array runs if one of its tasks may; a service's run all at once.
+        ("sweep", 1000, _LIMIT, 201),
+        ("standing", 8, 8.0, 201),
+        ("standing", 9, 8.0, 422),
+        ("standing", 1000, 0.1, 422),
+    ],
+)
+def test_a_teams_limit(shape: str, pieces: int, vcpus: float, status: int) -> None:
+    changes = {"crew": "red", "shape": shape, "pieces": pieces, "vcpus": vcpus}
+    reply = _submit(orjson.dumps({**SUBMISSION, **changes}), _Client())
+    assert reply.status == status
+    assert status == 201 or "`$.vcpus`" in reply.body["error"]
+
+
+_SPOILED = st.one_of(_MALFORMED, _IMPOSSIBLE).filter(lambda spoiled: spoiled[0] != "id")
+
+
+@given(_SPOILED, st.sampled_from(["job", "over"]))
+@hypothesis_settings(max_examples=150, deadline=None, derandomize=True)
+def test_a_known_job_is_answered_by_its_state_whatever_its_repetition_says(
+    spoiled: tuple[str, Any], where: str
+) -> None:
+    field, value = spoiled
+    changed = {**SUBMISSION, field: value}
+    if value is ...:
+        del changed[field]
+    kept = {"job": {"spec": SUBMISSION, "at": 1.0}, "over": {"status": wire.JOB_DONE, "tasks": 6}}
+    client = _Client(**{f"{where}/{SUBMISSION['id']}": kept[where]})
+    reply = _submit(orjson.dumps(changed), client)
+    said = {"job": wire.JOB_PENDING, "over": wire.JOB_DONE}[where]
+    assert (reply.status, reply.body["status"], client.committed) == (200, said, 0)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b"7", b'{"vcpus": NaN}', b'{"vcpus": 1e999}', b"\xff", b"null", b'"wk-1"'],
+)
+def test_what_is_no_job_at_all(body: bytes) -> None:
+    assert _submit(body, _Client()).status == 400
+
+
+def test_before_the_machine_types_are_known_nothing_is_called_impossible() -> None:
+    reply = _submit(orjson.dumps({**SUBMISSION, "vcpus": 1e9}), _Client(), None)
+    assert (reply.status, reply.retry_after_s) == (503, 1)
+    # What is malformed is so whatever there is.
+    assert _submit(orjson.dumps({**SUBMISSION, "vcpus": -1}), _Client(), None).status == 400
+
+
+def test_while_a_jobs_state_can_not_be_told_its_repetition_is_not_called_malformed() -> None:
+    """Its owner's record is being moved: it was accepted, and the user is to come again."""
+    client = _Client(**{"job/lab1-0": {"spec": SUBMISSION, "at": 1.0, "owner": "lab1"}})
+    reply = _submit(orjson.dumps({**SUBMISSION, "id": "lab1-0", "vcpus": -1}), client)
+    assert (reply.status, reply.retry_after_s) == (503, 1)
+
+
+def test_a_record_without_what_may_be_null_is_read() -> None:
+    """The border's type is the record's: what a version wrote without them must still be read."""
+    record = {k: v for k, v in SUBMISSION.items() if k not in _NULLABLE}
+    spec = wire.decode(orjson.dumps(record), wire.JobSpec)
+    assert (spec.types, spec.zone, spec.deadline_s) == (None, None, None)
