--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -48,6 +48,8 @@
 """A worker that has got no answer for so long tries another node, a second later."""
 _HEARS_S: Final = 4.8
 """Two reports in a row within this are those of a worker that got an answer between them."""
+_REPORT_JITTER: Final = 1.25
+"""Reports come up to a quarter later than their period says."""
 _IMAGES_KEPT: Final = 64
 
 
@@ -199,6 +201,7 @@
         elected_at: Steady,
         lease_s: float,
         permit_s: float = 0.0,
+        report_s: float = 0.0,
     ) -> None:
         self.machines: dict[MachineId, Machine] = {}
         self.gone: dict[MachineId, Steady] = {}
@@ -218,6 +221,9 @@
         self._term = term
         self._elected_at = elected_at
         self._silence_s = lease_s * _LEASE_DRIFT + _LEASE_MARGIN_S
+        # Where reports come more rarely than a worker asks again, the next sequence number alone
+        # tells that it stayed here; a deaf machine stayed deaf for ever there.
+        self._hears_s = max(_HEARS_S, _REPORT_JITTER * report_s + _LEASE_MARGIN_S)
         self._permit_s = permit_s
         # A permit of an earlier term may have been acted on for a moment after the election.
         self._elsewhere_until = Steady(elected_at + permit_s)
@@ -321,7 +327,7 @@
             if answered_at is not None and now - answered_at < self._silence_s:
                 log.info("machine %s lapsed though its reports were answered", machine.id)
                 machine.call_deaf(True)
-        elif machine.deaf and report.seq == machine.seq + 1 and now - heard_at < _HEARS_S:
+        elif machine.deaf and report.seq == machine.seq + 1 and now - heard_at < self._hears_s:
             log.info("machine %s hears again", machine.id)
             machine.call_deaf(False)
             self.changed()
--- a/tealrill/leader.py
+++ b/tealrill/leader.py
@@ -115,8 +115,11 @@
         self._mine = mine
         self._estimates = estimates
         self.book = Book(params.state.value_kb)
-        self.fleet = Fleet(self.book, mine.term, mine.elected_at, params.workers.lease_s, PERMIT_S)
-        spare_s = params.workers.cancel_s - params.workers.lease_s
+        workers = params.workers
+        self.fleet = Fleet(
+            self.book, mine.term, mine.elected_at, workers.lease_s, PERMIT_S, workers.report_s
+        )
+        spare_s = workers.cancel_s - workers.lease_s
         self.fleet.stop_within_s = max(_STOP_S, spare_s / 2)
         self._permits = Permits(
             client, mine.term, mine.stamp, lambda: self.fleet.permit_ended(steady_now())
--- a/tealrill/scheduler/blame.py
+++ b/tealrill/scheduler/blame.py
@@ -29,6 +29,9 @@
 _MOST_GAP_S: Final = 60.0
 _SURVIVES_S: Final = 2.0
 """A task on trial has survived when it ran for so long, and twice as long as any took to fail."""
+_ALONE_S: Final = 45.0
+"""A task on trial keeps its job's others waiting for no longer, beside room that they could have:
+after a failure at 100 s they waited until one had run for 202 s."""
 _MOST_AVOIDED_S: Final = 30.0
 """A job is not tried again for so long at most on a machine where it failed."""
 _MACHINES_KEPT: Final = 16
@@ -167,7 +170,7 @@
         `longest_s` seconds.
         """
         trial = self._trial(job)
-        if trial is None or longest_s >= trial.survives_s:
+        if trial is None or longest_s >= min(trial.survives_s, _ALONE_S):
             return None
         return 1 if bound == 0 and now >= trial.next_at else 0
 
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -254,6 +254,8 @@
     """A machine that costs this much more per task than the cheapest kind is dear."""
     cheap_share: float = 0.8
     """The part of the cheap machines that is counted on when jobs are kept off the dear ones."""
+    any_room_s: float = 60.0
+    """A job that has waited so long takes any room there is, on dear machines too."""
     turn_s: float = 120.0
     """A job of which nothing has begun for so long has its turn among its peers."""
 
--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -136,13 +136,17 @@
             if m.cpus >= cpus and m.memory_gb >= memory_gb and m.gpus >= gpus and m.allows(job)
         ]
         if job.one_zone and not any(job.zone_counts.values()):
-            fitting = self._best_zone(fitting)
+            # Of what is not kept for the head: else it waits for that zone beside the other one.
+            fitting = self._best_zone([m for m in fitting if self._may_start(job, m)])
         fitting.sort(key=lambda m: (m.dear, m.size, job.image not in m.images, m.cpus, m.id))
         return fitting
 
     def _usable(self, job: JobView, machines: list[MachineView]) -> list[MachineView]:
-        """Dear machines are left to jobs that the cheap ones don't bring in by their deadline."""
-        if job not in self.plan.affordable:
+        """Dear machines are left to jobs that the cheap ones don't bring in by their deadline.
+
+        But nobody waits for long beside room that it could have.
+        """
+        if job not in self.plan.affordable or job.waited_s >= self.policy.any_room_s:
             return machines
         return [m for m in machines if not m.dear]
 
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -225,3 +225,16 @@
     world = _World(3, _jobs(50, 20, tasks=1), _fleet(30))
     world.run(30.0)
     assert world.drained
+
+
+def test_a_failure_late_in_a_long_task_does_not_keep_the_others_waiting() -> None:
+    """They waited beside room until one task had run for twice as long as the one that failed."""
+    blame = Blame()
+    job, faulty = JobId("wk-1"), MachineId("m-1")
+    blame.failed(job, faulty, 100.0, False, Steady(100.0))
+    # Others of it have run as long without failing, or one that was begun since for a while.
+    assert blame.most(job, 9, 100.0, Steady(102.0)) is None
+    assert blame.most(job, 1, 40.0, Steady(150.0)) == 0
+    assert blame.most(job, 1, 45.0, Steady(150.0)) is None
+    # It is not called sound for that, and the machine not faulty.
+    assert not blame.survived(job, 100.0, Steady(160.0)) and blame.on_trial(job)
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -169,6 +169,45 @@
     assert wished == plainly
 
 
+def _beside_room(view: View, result: Plan, waited_s: float) -> list[str]:
+    """Jobs that have waited for so long and are left beside room that nothing is kept in.
+
+    Room of tasks that this pass stops is none yet.
+    """
+    stopped = {stop.task for stop in result.stops}
+    return [
+        job.id
+        for job, left in result.unplaced
+        if job.waited_s >= waited_s and not job.gang and left > 0
+        for machine in view.machines
+        if machine.ready_at <= NOW
+        and machine.id not in result.reservations
+        and stopped.isdisjoint(task.task for task in machine.running)
+        and machine.fits(job)
+        and machine.allows(job)
+        and job.zone_room(machine.zone) > 0
+        and view.teams[job.team].room(job) > 0
+    ]
+
+
+@settings(max_examples=200)
+@given(_seeds, st.integers(1, 40), st.integers(1, 25))
+def test_nobody_waits_for_long_beside_room(seed: int, machines: int, jobs: int) -> None:
+    view = _world(seed, machines, jobs)
+    result = plan(view, NOW, Policy())
+    assert not _beside_room(view, result, Policy().any_room_s)
+
+
+def test_dear_room_is_what_they_waited_beside() -> None:
+    policy = Policy(any_room_s=float("inf"))
+    found = 0
+    for seed in range(300):
+        view = _world(seed, 30, 15)
+        result = plan(view, NOW, policy)
+        found += len(_beside_room(view, result, 60.0))
+    assert found > 0
+
+
 @settings(max_examples=60)
 @given(_seeds, st.integers(1, 20))
 def test_rooms_for_a_head_are_those_found_by_looking_at_all(seed: int, most: int) -> None:
