A mute machine gets no work until it reports; every hold on a job has its end tested

Read and brought about in the lab: a machine that reaches no controller answered direct starts, was counted as heard by them, took tasks in each new session and lost them with its lease, again and again. Close looks are a meeting of their own, with three guards.

--- a/tealrill/lab/world.py
+++ b/tealrill/lab/world.py
@@ -175,6 +175,8 @@
         self.deaf: set[str] = set()
         self.mute: set[str] = set()
         """Machines that can't open connections to controllers."""
+        self.quiet: set[str] = set()
+        """Machines that must not be given work now."""
         self.copies = 0.0
         """Share of reports of which a copy arrives again."""
         self.for_next = 0.0
@@ -591,6 +593,8 @@
         """A task is done; in this moment its job may be called off."""
         job = self.jobs[name.partition("/")[0]]
         tasks = {f"{job.id}/{n}" for n in range(job.body["pieces"])}
+        if self.close_looks and tasks <= self.results:
+            self.begin(self._watch_end(job))
         if tasks <= self.results and not job.done and self.rng.random() < self.at_end:
             # The leader hears of the end within a report period.
             after_s = self.rng.uniform(0.0, 1.6 * self.shape.report_s)
@@ -611,6 +615,13 @@
         await asyncio.wait(looks)
         job.looked_at = False
 
+    async def _watch_end(self, job: UserJob) -> None:
+        """Asked about again and again until the end is told, and for a moment after it."""
+        until = self.now() + 1.6 * self.shape.report_s
+        while self.now() < until and not job.done and job.cancelled_at is None:
+            self.begin(self._poll(job))
+            await asyncio.sleep(self.rng.uniform(0.02, 0.06))
+
     async def _look_once(self, job: UserJob, host: Host, number: int) -> None:
         await asyncio.sleep(number * self.rng.uniform(0.0, 0.005))
         await self._poll(job, again=number == 3, at=host)
@@ -673,6 +684,8 @@
         most = (job.body["pieces"] + 1) // 2 if job.body["scatter"] else len(zones)
         if (job.body["samePlace"] and len(set(zones)) > 1) or zones.count(own.zone) > most:
             self.breach("wrong_place", f"{name} in {own.zone}, beside {zones}")
+        if own.id in self.quiet:
+            self.breach("given_work", f"{name} on {own.id}")
         if job.cancelled_at is not None and self.now() > job.cancelled_at + self.shape.cancel_s:
             self.breach("ran_cancelled", f"{name} starts")
         used = sum(
--- a/tests/test_meetings_lab.py
+++ b/tests/test_meetings_lab.py
@@ -26,10 +26,10 @@
 from tealrill.state.client import Committed, Unknown
 from tealrill.state.duty import Fence
 from tealrill.state.election import Election
-from tealrill.state.intake import Intake
+from tealrill.state.intake import Intake, Reply
 from tealrill.state.keeper import Keeper
 from tealrill.state.truce import Seen
-from tealrill.types import Revision, Steady
+from tealrill.types import JobId, MachineId, Revision, Steady, steady_now
 
 Patch = pytest.MonkeyPatch
 Fault = Callable[[Patch], None]
@@ -47,6 +47,30 @@
         world.end(host, back_s)
 
 
+async def _looked_at_closely(world: World) -> None:
+    """All nodes are asked at once whenever something was told, while records move: jobs end, are
+    called off and are sent anew, and nodes are refused, cut off and begin."""
+    world.close_looks, world.at_end, world.odd, world.state.slow_s = True, 0.5, True, 0.05
+    for number in range(8):
+        await asyncio.sleep(3.0)
+        await world.cancel_now(2)
+        host = world.rng.choice(list(world.hosts.values()))
+        pair = frozenset((host.name, "state"))
+        if number % 4 == 0:
+            world.state.refused.add(host.name)
+        elif number % 4 == 1:
+            world.cut.add(pair)
+        elif number % 4 == 2:
+            world.end(host, 0.3)
+        else:
+            world.state.late = 0.7
+        await asyncio.sleep(2.5)
+        world.state.refused.discard(host.name)
+        world.cut.discard(pair)
+        world.state.late = 0.0
+    world.close_looks, world.at_end, world.odd, world.state.slow_s = False, 0.0, False, 0.0
+
+
 async def _answers_lost(world: World) -> None:
     """Every second change is carried out and its writer does not know, while leaders end."""
     world.state.lost, world.close_looks = 0.5, True
@@ -149,10 +173,20 @@
     world.mute.update(names)
     await asyncio.sleep(2.0)
     await world.cancel_now(2)
-    for _ in range(4):
-        await asyncio.sleep(5.0)
+    # From when the leader must have noticed; they answer direct commands all the time.
+    await asyncio.sleep(4.0 * world.shape.report_s)
+    world.quiet.update(names)
+    for _ in range(5):
+        await world.cancel_now(1)
+        await asyncio.sleep(4.0)
+    for _ in range(2):
         _end_leader(world)
+        await asyncio.sleep(5.0)
+    world.quiet.clear()
     world.mute.clear()
+    gone = [name for name in names if world.cloud.machines[name].gone]
+    if gone:
+        world.breach("returned", f"{gone} were mute for a short spell")
 
 
 async def _zones_lose_machines(world: World) -> None:
@@ -245,6 +279,48 @@
 # -- guards, taken away ---------------------------------------------------------------------------
 
 
+def _over_first(patch: Patch) -> None:
+    """A job's end is looked for before the job, which moves in between."""
+
+    async def status(self: Intake, job_id: JobId) -> Reply:
+        over = self._over.get(job_id) or await self._read_over(job_id)
+        if over is not None:
+            return self._final(job_id, over)
+        if await self._client.get(job_key(job_id)) is None:
+            return Reply(404, {"error": "no such job"})
+        return Reply(200, wire.job_status(job_id, wire.JOB_PENDING))
+
+    patch.setattr(Intake, "_status", status)
+
+
+def _remembers_for_a_moment(patch: Patch) -> None:
+    """What was read is told again for a quarter of a second."""
+    whole = Intake._status
+    kept: dict[tuple[int, JobId], tuple[Steady, Reply]] = {}
+
+    async def status(self: Intake, job_id: JobId) -> Reply:
+        at, reply = kept.get((id(self), job_id), (Steady(-1e9), None))
+        if reply is None or steady_now() - at > 0.25:
+            reply = await whole(self, job_id)
+            kept[(id(self), job_id)] = steady_now(), reply
+        return reply
+
+    patch.setattr(Intake, "_status", status)
+
+
+def _accepted_without_an_answer(patch: Patch) -> None:
+    """An acceptance of which nothing was heard is told as one."""
+    whole = Intake._commit_accepted
+
+    async def commit(self: Intake, *given: Any) -> Any:
+        try:
+            return await whole(self, *given)
+        except Unknown:
+            return Committed(Revision(1))
+
+    patch.setattr(Intake, "_commit_accepted", commit)
+
+
 def _accepted_again(patch: Patch) -> None:
     """An acceptance that does not require that the job is new."""
     whole = Intake._commit_accepted
@@ -356,8 +432,6 @@
     """A machine lapses whether or not another node may have renewed it."""
 
     async def check(self: Leader) -> None:
-        from tealrill.types import steady_now
-
         self.fleet.check_silence(steady_now())
 
     patch.setattr(Leader, "_check_silence", check)
@@ -393,6 +467,21 @@
     patch.setattr(Fleet, "_must_lapse", lambda *_: False)
 
 
+def _work_for_who_answers(patch: Patch) -> None:
+    """A machine that answers direct commands may be given work, whether or not it reports."""
+    whole = Fleet.direct_report
+
+    def direct_report(
+        self: Fleet, report: Any, machine_id: MachineId, now: Steady, *rest: Any
+    ) -> None:
+        whole(self, report, machine_id, now, *rest)
+        machine = self.machines.get(machine_id)
+        if machine is not None:
+            machine.reported_at = machine.heard_at
+
+    patch.setattr(Fleet, "direct_report", direct_report)
+
+
 def _no_stops(patch: Patch) -> None:
     """A machine that was told once to stop a task is not told again."""
     whole = Fleet.stops
@@ -416,6 +505,16 @@
 
 
 _MEETINGS: dict[str, Meeting] = {
+    "close looks": Meeting(
+        _looked_at_closely,
+        Shape(machines=6, every_s=1.0, jobs=((1, 2.0), (2, 4.0), (1, 30.0))),
+        (
+            ("forgotten", _over_first),
+            ("went_back", _remembers_for_a_moment),
+            ("forgotten", _accepted_without_an_answer),
+        ),
+        10.0,
+    ),
     "only answers are lost": Meeting(
         _answers_lost, Shape(machines=6, every_s=1.5), (("went_back", _accepted_again),)
     ),
@@ -456,7 +555,9 @@
         10.0,
     ),
     "mute machines": Meeting(
-        _mute, Shape(machines=6, every_s=1.5, jobs=_LONG), (("ran_twice", _silence_from_nothing),)
+        _mute,
+        Shape(machines=6, every_s=1.5, jobs=_LONG),
+        (("ran_twice", _silence_from_nothing), ("given_work", _work_for_who_answers)),
     ),
     "zones lose machines": Meeting(
         _zones_lose_machines,
--- /dev/null
+++ b/tests/test_waits.py
@@ -0,0 +1,269 @@
+"""What keeps a job or a machine back, and when it ends: nobody waits for 90 s beside room.
+
+Each hold is brought about on real fleets and dispatchers, then time goes on as it does once all
+troubles are over: machines report, passes are made. The job that was held back must have its place
+by the moment given. `tests/test_cost.py` has the same for what the planner decides.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, cast
+
+import orjson
+import pytest
+
+from tealrill import settings, wire
+from tealrill.fleet.cloud import Cloud
+from tealrill.fleet.dispatch import Dispatcher
+from tealrill.fleet.machines import Fleet
+from tealrill.fleet.rental import Renter
+from tealrill.scheduler import blame as blame_module
+from tealrill.scheduler.estimates import Estimates
+from tealrill.scheduler.model import Policy
+from tealrill.state.book import Binding, Book, Job
+from tealrill.types import (
+    Attempt,
+    JobId,
+    MachineId,
+    Revision,
+    Session,
+    Steady,
+    TaskId,
+    Token,
+    Wall,
+)
+from tests.samples import SETTINGS, recorded_at_once, report, spec
+
+_REPORT_S = 1.0
+_LEASE_S = 8.0
+_TYPE = {
+    "label": "big", "vcpus": 8, "gpus": 0, "memoryGb": 64, "localGb": 50, "fetchGbPerS": 1.0,
+    "price": 1.0, "marketPrice": 0.4, "startupS": 20, "halls": ["north", "south"],
+}  # fmt: skip
+
+
+class _NoRentals(Renter):
+    def rent(self, rental: Any, now: Steady) -> None:
+        """There are no more machines than those that are up."""
+
+
+class _World:
+    """A leader in its first moments, with one machine that reports."""
+
+    def __init__(self, report_s: float = _REPORT_S) -> None:
+        params = settings.parse(orjson.dumps(SETTINGS)).params
+        self.report_s = report_s
+        self.now = Steady(100.0)
+        self.book = Book(8.0)
+        self.fleet = Fleet(self.book, Token(1), self.now, _LEASE_S, 0.0, report_s)
+        renter = _NoRentals(cast(Cloud, None), self.fleet, Token(1), 2.0, *recorded_at_once())
+        renter.take_catalogue(wire.decode(orjson.dumps({"builds": [_TYPE]}), wire.Catalogue))
+        self.dispatcher = Dispatcher(
+            self.book, self.fleet, renter, Estimates(), params, lambda _: None
+        )
+        self.seq = 0
+        self.lines: list[tuple[str, int, str, str | None]] = []
+        self.number = 0
+
+    def begin(self, *inherited: Binding) -> None:
+        self.fleet.inherit(inherited, self.now)
+        self.beat()
+        self.beat()
+        # So new that it is not returned for having nothing to do.
+        self.fleet.machines[MachineId("m-1")].since = Steady(self.now + 1000.0)
+
+    def job(self, **changes: Any) -> Job:
+        self.number += 1
+        description = spec(id=f"wk-{self.number:06d}", pieces=1, **changes)
+        return self.book.add(description, Wall(self.now), Revision(1))
+
+    def bound(self, job: Job, machine: str) -> Binding:
+        """By a former leader, to a machine of which nothing was heard since."""
+        chunk = self.book._chunk(job, 0)
+        value = {"n": 1, "tasks": [[2, machine, 1, 1, 0, 5.0]]}
+        del job.chunks[chunk.number]
+        (binding,) = self.book.load(job, 0, value, Revision(2))
+        return binding
+
+    def beat(self) -> None:
+        self.seq += 1
+        message = report("m-1", 1, self.seq, 1, self.lines)
+        self.fleet.report(message, MachineId("m-1"), self.now, Wall(self.now))
+
+    def until_placed(self, job: Job, most_s: float = 90.0) -> float:
+        """How long it takes until the job has a place beside whatever else there is."""
+        began = self.now
+        while not job.bound_count:
+            assert self.now - began <= most_s, "it still waits"
+            self.fleet.check_silence(self.now)
+            self.beat()
+            self.dispatcher.run(self.now, Wall(self.now))
+            self.now = Steady(self.now + self.report_s)
+        return self.now - began - self.report_s
+
+
+def test_without_a_hold_there_is_no_wait() -> None:
+    world = _World()
+    world.begin()
+    assert world.until_placed(world.job()) == 0.0
+
+
+@pytest.mark.parametrize("report_s", [1.0, 2.5, 5.0, 6.0])
+def test_a_machine_that_was_called_deaf_has_work_again_two_reports_later(report_s: float) -> None:
+    """Where reports come more than 4.8 s apart, it stayed deaf for ever."""
+    world = _World(report_s)
+    world.begin()
+    world.fleet.machines[MachineId("m-1")].call_deaf(True)
+    world.now = Steady(world.now + report_s)
+    assert world.until_placed(world.job()) <= 2 * report_s
+
+
+def test_a_refusal_keeps_a_machine_back_for_two_seconds() -> None:
+    world = _World()
+    world.begin()
+    first = world.job()
+    world.until_placed(first)
+    world.lines = [("wk-000001/0", 1, "ended", "no_room")]
+    world.beat()
+    world.lines = []
+    assert 0.0 < world.until_placed(first) <= 3.0
+
+
+def test_strangers_keep_a_machine_back_until_they_are_stopped() -> None:
+    world = _World()
+    world.begin()
+    world.lines = [("wk-000777/0", 3, "running", None)]
+    world.beat()
+    job = world.job()
+    world.dispatcher.run(world.now, Wall(world.now))
+    assert not job.bound_count
+    world.lines = []
+    assert world.until_placed(job) <= 1.0
+
+
+@pytest.mark.parametrize("failures", [1, 3, 6, 20])
+def test_a_job_that_failed_is_tried_again_within_a_minute(failures: int) -> None:
+    world = _World()
+    world.begin()
+    job = world.job()
+    blame = world.fleet.blame
+    for _ in range(failures):
+        trial = blame._jobs.get(job.id)
+        if trial is not None:
+            world.now = Steady(max(world.now, trial.next_at))
+        blame.failed(job.id, MachineId("m-1"), 0.2, False, world.now)
+        world.beat()
+    assert world.until_placed(job) <= blame_module._MOST_GAP_S + 1.0
+
+
+@pytest.mark.parametrize("rule", [{"samePlace": True}, {"scatter": True}])
+@pytest.mark.parametrize("known", [False, True])
+def test_a_rule_about_zones_waits_for_the_zones_of_its_tasks(
+    rule: dict[str, bool], known: bool
+) -> None:
+    """Placed before they were known, its tasks were in two zones. A machine of which nothing is
+    heard lapses, and then its tasks are nowhere."""
+    world = _World()
+    job = world.job(**rule)
+    job.spec = spec(id=job.id, pieces=2, **rule)
+    job.done = bytearray(2)
+    binding = world.bound(job, "m-9")
+    world.begin(binding)
+    if known:
+        # The list says that it is in this machine's zone, or in the other one.
+        zone = "north" if "samePlace" in rule else "south"
+        world.fleet.locate(world.fleet.machines[MachineId("m-9")], "big", zone, False)
+    world.dispatcher.run(world.now, Wall(world.now))
+    assert (job.bound_count == 2) is known
+    if not known:
+        # Its lease is over 8.5 s after the election, and only then.
+        took_s = 0.0
+        while job.bound_count < 2 and binding in job.bindings():
+            took_s += 1.0
+            world.now = Steady(world.now + 1.0)
+            world.beat()
+            world.fleet.check_silence(world.now)
+            world.dispatcher.run(world.now, Wall(world.now))
+        assert _LEASE_S < took_s <= _LEASE_S + 2.0
+
+
+def test_a_limit_counts_what_may_still_run_and_no_longer() -> None:
+    """All that the team may use is bound to a machine that is gone."""
+    world = _World()
+    gone = world.job(crew="red", vcpus=64.0)
+    world.begin(world.bound(gone, "m-9"))
+    gone.cancelled = True
+    waiting = world.job(crew="red")
+    other = world.job(crew="blue")
+    assert world.until_placed(other) == 0.0
+    assert not waiting.bound_count
+    took_s = world.until_placed(waiting)
+    assert _LEASE_S < took_s + 1.0 <= _LEASE_S + 3.0
+
+
+@pytest.mark.parametrize("waited_s", [0.0, Policy().turn_s, 3 * Policy().aging_s])
+@pytest.mark.parametrize(
+    "changes", [{"vcpus": 64.0}, {"builds": ["other"]}, {"hall": "south"}, {"memoryGb": 500.0}]
+)
+def test_a_job_that_has_no_place_at_all_keeps_nobody_back(
+    changes: dict[str, Any], waited_s: float
+) -> None:
+    """Not as the head, nor when it has its turn, nor as the oldest of the highest level."""
+    world = _World()
+    world.begin()
+    first = world.job(urgency="urgent", **changes)
+    first.submitted = Wall(world.now - waited_s)
+    assert world.until_placed(world.job(urgency="idle")) == 0.0
+    assert not first.bound_count
+
+
+@pytest.mark.parametrize(
+    "hold",
+    [
+        lambda world: world.fleet.machines[MachineId("m-1")].call_deaf(True),
+        lambda world: setattr(world.fleet.machines[MachineId("m-1")], "current", False),
+    ],
+)
+def test_what_a_report_says_ends_a_hold(hold: Callable[[_World], None]) -> None:
+    world = _World()
+    world.begin()
+    world.now = Steady(world.now + 1.0)
+    hold(world)
+    assert world.until_placed(world.job()) <= 2.0
+
+
+def test_a_mute_machine_has_no_work_until_it_reports() -> None:
+    """Answers to direct commands show that it is up, and renew nothing: it takes work again with
+    its first report."""
+    world = _World()
+    world.begin()
+    for _ in range(6):
+        world.now = Steady(world.now + 1.0)
+        world.seq += 1
+        answer = report("m-1", 1, world.seq, 1)
+        world.fleet.direct_report(answer, MachineId("m-1"), world.now, Wall(world.now))
+    job = world.job()
+    world.dispatcher.run(world.now, Wall(world.now))
+    assert not job.bound_count
+    machine = world.fleet.machines[MachineId("m-1")]
+    assert machine.heard_at == world.now and not machine.releasing
+    assert world.until_placed(job) == 0.0
+
+
+def test_nothing_of_a_task_that_is_gone_is_counted() -> None:
+    """Sums of decimal numbers: ten thousand tasks later the team has all that it may use."""
+    world = _World()
+    world.begin()
+    job = world.job(crew="red", vcpus=0.1)
+    for attempt in range(10_000):
+        binding = world.book.bind(
+            job, 0, MachineId("m-1"), Session(1), "north", False, Wall(0.0), world.now
+        )
+        assert binding.attempt == Attempt(attempt + 1)
+        world.book.release(binding, "north", world.now)
+    world.book.cancel(job)
+    whole = world.job(crew="red", vcpus=8.0)
+    assert abs(world.book.team_cpus["red"]) < 1e-6
+    assert world.until_placed(whole) == 0.0
+    assert TaskId(JobId("wk-000002"), 0) in world.fleet.machines[MachineId("m-1")].bindings
