--- a/tealrill/lab/world.py
+++ b/tealrill/lab/world.py
@@ -190,6 +190,8 @@
         """Users send what can't be taken, and what was sent before."""
         self.held_s = 0.0
         """Commands and their answers are held up by up to so long."""
+        self.links_s = 0.0
+        """Each way between two machines takes up to so long."""
         self.off_on_the_way = False
         """Jobs are called off while the start of one of their tasks is held up."""
         self.descriptions: dict[str, Description] = {}
@@ -248,6 +250,9 @@
         pair = frozenset("workers" if name.startswith("m-") else name for name in (one, other))
         return pair in self.cut
 
+    async def _way(self) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0003, 0.002) + self.rng.uniform(0.0, self.links_s))
+
     async def call(
         self,
         address: Address,
@@ -259,7 +264,7 @@
     ) -> Answer:
         """One request of a node's, as `http.Client.request` makes it."""
         source, place = _PROCESS.get().name, self._place(address)
-        await asyncio.sleep(self.rng.uniform(0.0003, 0.002))
+        await self._way()
         host = self.hosts.get(place)
         if host is not None and host.node is None:
             raise NoAnswer("refused", False, refused=True)
@@ -274,7 +279,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 status, value = await asyncio.shield(answered)
-                await asyncio.sleep(self.rng.uniform(0.0003, 0.002))
+                await self._way()
         except TimeoutError:
             raise NoAnswer("TimeoutError", True, silent=True) from None
         if self.apart(source, place):
@@ -456,7 +461,7 @@
 
     async def _reported(self, machine: str, message: dict[str, Any], name: str) -> Reply | None:
         """A report's way to a node and back; None after 4 s or a refused connection."""
-        await asyncio.sleep(self.rng.uniform(0.0003, 0.002))
+        await self._way()
         if self.hosts[name].node is None:
             return None
         if self.apart(machine, name) or machine in self.mute:
@@ -466,7 +471,7 @@
         if machine in self.deaf or reply is None:
             await asyncio.sleep(_REPORT_S)
             return None
-        await asyncio.sleep(self.rng.uniform(0.0003, 0.002))
+        await self._way()
         return reply
 
     def _take(self, message: dict[str, Any], name: str) -> Reply | None:
--- a/tests/test_acknowledged.py
+++ b/tests/test_acknowledged.py
@@ -173,6 +173,28 @@
             _World(seed, clause).run(80)
 
 
+@given(st.integers(0, 2**32))
+@hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+def test_nothing_runs_on_where_more_are_called_off_than_are_kept(seed: int) -> None:
+    """One-task jobs by the hundred, a quarter of them called off, in an outage."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(acknowledged_module, "_KEPT", 1)
+        _World(seed).run(80)
+
+
+def test_what_was_let_go_is_not_vouched_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(acknowledged_module, "_KEPT", 1)
+
+    def all_since(self: Acknowledged, revision: Revision) -> bool:
+        first = self._first_seen()
+        return first is not None and first <= revision
+
+    monkeypatch.setattr(Acknowledged, "all_since", all_since)
+    with pytest.raises(AssertionError, match="runs on"):
+        for seed in range(3000):
+            _World(seed).run(80)
+
+
 def test_a_restarted_member_vouches_for_what_came_after_its_first_look() -> None:
     first: list[Revision] = []
     known = Acknowledged(lambda: first[0] if first else None)
--- a/tests/test_meetings_lab.py
+++ b/tests/test_meetings_lab.py
@@ -134,7 +134,7 @@
 
 async def _kept_reports(world: World) -> None:
     """Copies of old reports reach every controller as each leader begins, and some later."""
-    world.for_next, world.copies = 0.5, 0.5
+    world.for_next, world.copies = 0.9, 0.9
     for _ in range(6):
         await asyncio.sleep(6.0)
         _end_leader(world, 0.5)
@@ -152,6 +152,17 @@
     await asyncio.sleep(10.0)
 
 
+async def _more_than_room(world: World) -> None:
+    """More work than room, urgent and not, over links that take up to half a second each way."""
+    world.links_s = 0.5
+    for _ in range(3):
+        await asyncio.sleep(8.0)
+        await world.cancel_now(2)
+    _end_leader(world)
+    await asyncio.sleep(8.0)
+    world.links_s = 0.0
+
+
 async def _off_at_the_end(world: World) -> None:
     """Jobs are called off, asked about and sent again in the moment of their end."""
     world.at_end, world.close_looks, world.odd = 1.0, True, True
@@ -539,12 +550,15 @@
     ),
     "reports kept for the next leader": Meeting(
         _kept_reports,
-        Shape(machines=6, every_s=1.0),
+        Shape(machines=10, every_s=0.8, limit_vcpus=99.0),
         (("ran_twice", _any_order), ("ran_twice", _any_token)),
     ),
     "one-task jobs by the hundred": Meeting(
         _flood, Shape(machines=8, every_s=0.25, jobs=((1, 3.0),), cancelled=0.25), ()
     ),
+    "more work than room": Meeting(
+        _more_than_room, Shape(machines=4, every_s=0.5, jobs=_LONG, limit_vcpus=99.0), ()
+    ),
     "called off at the end": Meeting(
         _off_at_the_end, Shape(machines=6, every_s=1.0), (("went_back", _end_unguarded),)
     ),
@@ -624,3 +638,13 @@
         if rule in found:
             return
     raise AssertionError(f"{rule} is not among {found}")
+
+
+def test_a_one_task_job_costs_five_changes_and_other_jobs_are_served() -> None:
+    """Accepted, bound, ended (two records), its chunk removed; called off it costs no more."""
+    meeting = _MEETINGS["one-task jobs by the hundred"]
+    world = _play(meeting, 2)
+    assert not world.broken and len(world.jobs) > 200
+    assert len(world.state.log) <= 5 * len(world.jobs) + 150
+    open_ = [j for j in world.jobs.values() if j.accepted and not j.done and not j.cancelled_at]
+    assert len(open_) < 0.05 * len(world.jobs)
