--- a/tealrill/lab/world.py
+++ b/tealrill/lab/world.py
@@ -25,7 +25,7 @@
 from tealrill.settings import Address, Settings
 from tealrill.state.intake import Reply as UserReply
 from tealrill.state.truce import PING_PATH, TRUCE_PATH, Request
-from tealrill.types import MachineId
+from tealrill.types import JobId, MachineId
 
 _PROCESS: contextvars.ContextVar[Process] = contextvars.ContextVar("process")
 _STATE, _CLOUD = "state", "cloud"
@@ -273,6 +273,8 @@
             raise NoAnswer("TimeoutError", self.rng.random() < 0.5, silent=True)
         if check is not None:
             check()
+        if place.startswith("m-"):
+            self._sends(source, orjson.loads(body or b"{}").get("orders", []))
         answered: asyncio.Future[Reply] = self.loop.create_future()
         work = self._deliver(answered, source, place, method, path, body)
         self.begin(work, host.context if host is not None else None)
@@ -480,7 +482,19 @@
         if node is None:
             return None
         found = wire.decode(orjson.dumps(message), wire.Report)
-        return host.context.run(node.take_report, found, MachineId(found.machine))
+        status, answer = host.context.run(node.take_report, found, MachineId(found.machine))
+        self._sends(name, answer.get("orders", []))
+        return status, answer
+
+    def _sends(self, name: str, commands: list[dict[str, Any]]) -> None:
+        """No start leaves a node that knows that its job is over."""
+        node = self.hosts[name].node
+        leader = node.leader if node is not None else None
+        for command in commands if leader is not None else ():
+            number = command["piece"].partition("/")[0]
+            job = leader.book.jobs.get(JobId(number)) if leader is not None else None
+            if command["verb"] == wire.START and (job is None or job.cancelled):
+                self.breach("started_late", f"{command['piece']} by {name}")
 
     async def _again(self, message: dict[str, Any], name: str) -> None:
         await asyncio.sleep(self.rng.uniform(2.0, 2.5 * self.shape.lease_s))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -163,14 +163,27 @@
 
 
 async def _odd_requests(world: World) -> None:
-    world.odd = True
+    world.odd = world.off_on_the_way = True
+    world.held_s = 2.0
     await asyncio.sleep(20.0)
-    world.odd = False
+    world.odd = world.off_on_the_way = False
+    world.held_s = 0.0
+
+
+def _starts_whatever_is_bound(patch: pytest.MonkeyPatch) -> None:
+    """A task whose job was called off is started all the same, and never told to stop."""
+    patch.setattr(Fleet, "_may_start", staticmethod(lambda b: b.committed and not b.inherited))
+    patch.setattr(Fleet, "_to_send", lambda _, b: b.committed and not b.inherited)
+    patch.setattr(Fleet, "stop", lambda *_: True)
 
 
 @pytest.mark.parametrize(
     ("rule", "fault", "calm_s"),
-    [("waited", _passes_over, 105.0), ("accepted", _takes_anything, 1.0)],
+    [
+        ("waited", _passes_over, 105.0),
+        ("accepted", _takes_anything, 1.0),
+        ("started_late", _starts_whatever_is_bound, 1.0),
+    ],
 )
 def test_what_is_newly_counted_is_watched(
     rule: str,
--- a/tests/test_variants_tool.py
+++ b/tests/test_variants_tool.py
@@ -30,6 +30,9 @@
 zone = "south"
 count = 4
 spot = 0
+[[teams]]
+name = "red"
+weight = 1.0
 [[jobs]]
 name = "quick"
 priority = "high"
@@ -63,6 +66,27 @@
     assert (out.parent / "wire.json").exists()
 
 
+def test_a_limit_is_every_teams(tmp_path: Path) -> None:
+    out = tmp_path / "limited.toml"
+    args = ["site", str(_site(tmp_path)), str(out), "--limit", "40"]
+    assert CliRunner().invoke(variants.main, args).exit_code == 0
+    found = tomllib.loads(out.read_text())
+    assert found["teams"] == [{"name": "red", "weight": 1.0, "cpus_max": 40.0}]
+
+
+def test_a_flood_is_of_the_urgent_class(tmp_path: Path) -> None:
+    args = ["days", str(_site(tmp_path)), str(tmp_path / "days"), "--theme", "shown", "--seed", "3"]
+    args += ["--tasks", "1", "--rate", "4", "--cancelled", "0.25"]
+    result = CliRunner().invoke(variants.main, args)
+    assert result.exit_code == 0, result.output
+    (day,) = tomllib.loads((tmp_path / "days" / "shown-3.toml").read_text())["day"]
+    one = {"median": 1.0, "p95": 1.0, "max": 1.0}
+    assert day["jobs"] == [
+        {"name": "quick", "tasks": one, "arrivals": {"rate": 4.0}, "cancelled": 0.25},
+        {"name": "large", "tasks": one, "cancelled": 0.25},
+    ]
+
+
 def test_machines_are_spread_over_other_zones(tmp_path: Path) -> None:
     out = tmp_path / "zones.toml"
     args = ["site", str(_site(tmp_path)), str(out), "--zone", "east=3", "--zone", "west=1"]
@@ -95,7 +119,10 @@
         (["site", "empty.toml", "out.toml"], "nodes"),
         (["site", "small.toml", "out.toml", "--zone", "east"], "east"),
         (["site", "small.toml", "out.toml", "--machines", "0"], "--machines"),
+        (["site", "small.toml", "out.toml", "--limit", "0"], "--limit"),
         (["days", "small.toml", "out", "--theme", "floods"], "floods"),
+        (["days", "small.toml", "out", "--tasks", "0"], "--tasks"),
+        (["days", "small.toml", "out", "--rate", "none"], "--rate"),
     ],
 )
 def test_bad_input_is_named_in_a_line_and_nothing_is_written(
--- a/tools/variants.py
+++ b/tools/variants.py
@@ -70,6 +70,7 @@
     restart_s: float | None,
     seed: int | None,
     zones: dict[str, float],
+    limit: float | None = None,
 ) -> dict[str, Any]:
     """The same deployment with other numbers: counts are rounded up, so that none becomes zero."""
     Site(values)
@@ -86,6 +87,8 @@
         found["nodes"]["restart_delay_s"] = restart_s
     if seed is not None:
         found["seed"] = seed
+    if limit is not None:
+        found["teams"] = [{**team, "cpus_max": limit} for team in values.get("teams", [])]
     return found
 
 
@@ -576,6 +579,9 @@
 _FACTOR: Final = click.FloatRange(min=0.0, min_open=True, max=100.0)
 
 
+_LIMIT: Final = click.FloatRange(min=0.0, min_open=True)
+
+
 @main.command("site")
 @click.argument("site", type=click.Path(path_type=Path))
 @click.argument("out", type=click.Path(path_type=Path))
@@ -584,6 +590,7 @@
 @click.option("--restart-s", type=click.FloatRange(min=0.0), help="Until a process is back.")
 @click.option("--seed", type=int)
 @click.option("--zone", "zones", multiple=True, callback=_shares, help="ZONE=SHARE of machines.")
+@click.option("--limit", type=_LIMIT, help="Processors that each team may use at most.")
 def write_site(
     site: Path,
     out: Path,
@@ -592,9 +599,10 @@
     restart_s: float | None,
     seed: int | None,
     zones: dict[str, float],
+    limit: float | None,
 ) -> None:
     """Writes a variant, and the wire file that it names beside it."""
-    values = scaled(load(site), machines, traffic, restart_s, seed, zones)
+    values = scaled(load(site), machines, traffic, restart_s, seed, zones, limit)
     out.parent.mkdir(parents=True, exist_ok=True)
     wire = site.parent / str(values.get("wire", ""))
     if wire.is_file() and not (out.parent / wire.name).exists():
