Read once more: one moment for a machine's reports, one word for what the lab repeats

- Machine.reported_at was set wherever answered_at is, and nowhere else: answered_at serves for both.
- One fault, work_for_who_answers, for the bindings' model and the lab instead of one in each.
A count that nobody read, a check that was made twice and an argument that was never given are gone.
Deaf and mute machines share their trouble.
- tests/test_waits.py builds its dispatcher by that of tests/test_dispatch.py; the truce's spare time is worked out in one place.

--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -142,10 +142,10 @@
         verdicts = self.hearing().verdicts
         heard_from = now - self._silence_s
         for machine in self._fleet.machines.values():
-            heard_at, reported_at = machine.heard_at, machine.reported_at
+            heard_at, answered_at = machine.heard_at, machine.answered_at
             if (
-                reported_at is not None
-                and reported_at >= heard_from
+                answered_at is not None
+                and answered_at >= heard_from
                 and (view := machine.view) is not None
                 and not view.used
                 and machine.in_order
--- a/tealrill/fleet/machines.py
+++ b/tealrill/fleet/machines.py
@@ -97,11 +97,10 @@
     begun_at: Steady | None = None
     """When its session was first heard of, in this term; the worker's lease runs from before."""
     answered_at: Steady | None = None
+    """Its last report that was answered: only that renews it, so one that is mute gets no work
+    however well it answers. It took tasks in each new session, and lost them with its lease."""
     heard_at: Steady | None = None
     """The last that was heard of it, by a report or by the answer to a direct command."""
-    reported_at: Steady | None = None
-    """Its last report here: only that renews it, so one that is mute gets no work however well it
-    answers. It took tasks in each new session, and lost them with its lease."""
     notice_until: Steady | None = None
     deaf: bool = False
     """What is sent to it seems not to arrive, though its reports do."""
@@ -181,8 +180,8 @@
         """Whether a task may be bound to it at this moment."""
         return (
             self.in_order
-            and self.reported_at is not None
-            and now - self.reported_at <= silence_s
+            and self.answered_at is not None
+            and now - self.answered_at <= silence_s
             and now >= self.refused_until
         )
 
@@ -271,11 +270,11 @@
             if machine.session == report.session and not machine.lapsed:
                 # A direct command overtook it. Its list is old, but it is the worker's report in
                 # flight: it is answered, so that the worker stays and its lease goes on.
-                machine.answered_at = machine.reported_at = now
+                machine.answered_at = now
                 return []
             return None
         self._listen(machine, report, now)
-        machine.answered_at = machine.reported_at = now
+        machine.answered_at = now
         if not self._take_in(machine, report, now, wall, direct=False):
             return []
         if machine.settled is not None:
--- a/tealrill/lab/outside.py
+++ b/tealrill/lab/outside.py
@@ -17,6 +17,11 @@
 Reply = tuple[int, Any]
 
 
+def job_of(task: str) -> str:
+    """The job in a task's name, which is the lab's own."""
+    return task.partition("/")[0]
+
+
 class NoReply(Exception):
     """The request is taken, and nothing is ever said of it."""
 
@@ -219,8 +224,6 @@
         """New machines are up within two seconds."""
         self.answers_s = 0.0
         """Rentals are carried out at once and answered only after up to so long."""
-        self.released_busy = 0
-        """Tasks that ran on machines when these were given back."""
         self.machines: dict[str, Machine] = {}
         self.answers: dict[str, list[str]] = {}
         self.booted: Callable[[Machine], None] = lambda _: None
@@ -234,8 +237,7 @@
             for name in orjson.loads(body or b"{}")["kilns"]:
                 machine = self.machines.get(name)
                 if machine is not None and not machine.gone:
-                    machine.gone = True
-                    self.taken(machine)
+                    self.take(machine)
             return 200, {}
         if method == "POST":
             reply = self._rent(orjson.loads(body or b"{}"))
@@ -243,9 +245,18 @@
                 await asyncio.sleep(self.rng.uniform(0.5, 1.0) * self.answers_s)
             return reply
         seen = self.now() - self._LAG_S
-        listed = [m for m in self.machines.values() if not m.gone and m.rented_at <= seen]
+        listed = [m for m in self.alive() if m.rented_at <= seen]
         return 200, {"kilns": [self._line(m) for m in listed], "truncated": False}
 
+    def alive(self) -> list[Machine]:
+        """Rented, and neither given back nor dead."""
+        return [m for m in self.machines.values() if not m.gone]
+
+    def take(self, machine: Machine) -> None:
+        """It is gone, with all that ran on it."""
+        machine.gone = True
+        self.taken(machine)
+
     def _line(self, machine: Machine) -> dict[str, Any]:
         return {
             "id": machine.id, "addr": machine.addr, "build": "m8", "hall": machine.zone,
@@ -260,7 +271,7 @@
 
     def _rent(self, asked: dict[str, Any]) -> Reply:
         if asked["hire"] not in self.answers:
-            left = self.most - sum(not m.gone for m in self.machines.values())
+            left = self.most - len(self.alive())
             if left <= 0:
                 return 503, {"error": "no capacity"}
             names = []
@@ -343,7 +354,7 @@
         for name, task in self.tasks.items():
             if task.state == wire.EXITED or now < task.due:
                 continue
-            job = self.jobs[name.partition("/")[0]]
+            job = self.jobs[job_of(name)]
             if task.state == wire.FETCHING:
                 task.state = wire.RUNNING
                 task.due = now + (0.0 if name in self.results else job.run_s)
@@ -397,11 +408,9 @@
                 del self.tasks[name]
 
     def _start(self, name: str, attempt: int) -> None:
-        job = self.jobs[name.partition("/")[0]]
+        job = self.jobs[job_of(name)]
         used = sum(
-            self.jobs[n.partition("/")[0]].vcpus
-            for n, t in self.tasks.items()
-            if t.state != wire.EXITED
+            self.jobs[job_of(n)].vcpus for n, t in self.tasks.items() if t.state != wire.EXITED
         )
         self.fetched_at = min(self.fetched_at, self.now() + 0.5)
         if used + job.vcpus > Cloud.VCPUS:
--- a/tealrill/lab/troubles.py
+++ b/tealrill/lab/troubles.py
@@ -107,12 +107,15 @@
         seconds = self.rng.choice([15.0, 40.0])
         await self._level("late copies of reports", self.world, "copies", 0.3, seconds)
 
-    async def deaf(self) -> None:
+    async def _some_are(self, name: str, which: set[str], for_s: list[float]) -> None:
         names = [n for n in self.world.workers if self.rng.random() < 0.4]
-        self.world.deaf.update(names)
-        seconds = self.rng.choice([5.0, 12.0, 30.0])
-        name = f"{len(names)} machines are deaf"
-        await self._for(name, seconds, lambda: self.world.deaf.difference_update(names))
+        which.update(names)
+        seconds = self.rng.choice(for_s)
+        text = f"{len(names)} machines are {name}"
+        await self._for(text, seconds, lambda: which.difference_update(names))
+
+    async def deaf(self) -> None:
+        await self._some_are("deaf", self.world.deaf, [5.0, 12.0, 30.0])
 
     async def held(self) -> None:
         held_s, seconds = self.rng.choice([3.0, 9.0]), self.rng.choice([10.0, 30.0])
@@ -136,12 +139,11 @@
             await asyncio.sleep(self.rng.choice([0.7, 2.0]))
 
     async def machine_dies(self) -> None:
-        alive = [m for m in self.world.cloud.machines.values() if not m.gone]
+        alive = self.world.cloud.alive()
         if alive:
             machine = self.rng.choice(alive)
             self.world.note(f"{machine.id} dies")
-            machine.gone = True
-            self.world.cloud.taken(machine)
+            self.world.cloud.take(machine)
 
     async def cancel_now(self, hang_s: float | None = None) -> None:
         """Jobs that run are called off; their machines hang for less, or for more, than a lease."""
@@ -180,11 +182,7 @@
         await self._level("reports are kept", self.world, "for_next", 0.3, seconds)
 
     async def mute(self) -> None:
-        names = [n for n in self.world.workers if self.rng.random() < 0.4]
-        self.world.mute.update(names)
-        seconds = self.rng.choice([3.0, 10.0, 25.0])
-        name = f"{len(names)} machines are mute"
-        await self._for(name, seconds, lambda: self.world.mute.difference_update(names))
+        await self._some_are("mute", self.world.mute, [3.0, 10.0, 25.0])
 
     async def close_looks(self) -> None:
         await self._level("close looks", self.world, "close_looks", True, 40.0)
@@ -211,10 +209,5 @@
         await self._for(f"{zone} is cut off", seconds, lambda: self.world.away.discard(zone))
 
     async def parted(self) -> None:
-        self.world.parted = True
         seconds = self.world.shape.lease_s * self.rng.choice([0.5, 1.2, 2.5])
-
-        def undo() -> None:
-            self.world.parted = False
-
-        await self._for("the zones are parted", seconds, undo)
+        await self._level("the zones are parted", self.world, "parted", True, seconds)
--- a/tealrill/lab/world.py
+++ b/tealrill/lab/world.py
@@ -21,7 +21,16 @@
 from tealrill.fleet.catalogue import CATALOGUE_PATH
 from tealrill.http import Answer, NoAnswer
 from tealrill.lab.clock import Loop, simulated
-from tealrill.lab.outside import Cloud, Description, Machine, NoReply, Reply, State, Worker
+from tealrill.lab.outside import (
+    Cloud,
+    Description,
+    Machine,
+    NoReply,
+    Reply,
+    State,
+    Worker,
+    job_of,
+)
 from tealrill.settings import Address, Settings
 from tealrill.state.intake import Reply as UserReply
 from tealrill.state.truce import PING_PATH, TRUCE_PATH, Request
@@ -149,6 +158,19 @@
     beside_since: float | None = None
     """From when on a task of it has waited beside room."""
 
+    @property
+    def path(self) -> str:
+        return f"{wire.JOBS_PATH}/{self.id}"
+
+    @property
+    def tasks(self) -> set[str]:
+        return {f"{self.id}/{n}" for n in range(self.body["pieces"])}
+
+    @property
+    def over(self) -> bool:
+        """Its user knows that it is done, or cancelled."""
+        return self.done or self.cancelled_at is not None
+
     @property
     def told(self) -> tuple[bool, bool, bool]:
         """What its user has been told of: accepted, cancelled, done."""
@@ -198,7 +220,9 @@
         self.results: set[str] = set()
         self.jobs: dict[str, UserJob] = {}
         self.broken: list[str] = []
-        self.breached: Callable[[], object] = lambda: None
+        self.rules: set[str] = set()
+        """Those that are broken, by name."""
+        self.breached: Callable[[str], object] = lambda _: None
         self.events: list[str] = []
         self.calm_since = math.inf
         """When the last trouble ended."""
@@ -216,7 +240,8 @@
 
     def breach(self, rule: str, text: str) -> None:
         self.broken.append(f"{self.now():.3f} {rule}: {text}")
-        self.breached()
+        self.rules.add(rule)
+        self.breached(rule)
 
     def begin(self, work: Coroutine[Any, Any, Any], context: Any = None) -> asyncio.Task[Any]:
         task = self.loop.create_task(work, context=context or self._context)
@@ -397,10 +422,12 @@
     def _taken(self, machine: Machine) -> None:
         worker = self.workers.get(machine.id)
         if worker is not None:
-            worker.tick()
-            self.cloud.released_busy += len(worker.on())
             worker.tasks.clear()
 
+    def up(self) -> list[Worker]:
+        """Workers whose machines are not gone."""
+        return [worker for worker in self.workers.values() if not worker.machine.gone]
+
     async def _work(self, machine: Machine) -> None:
         await asyncio.sleep(machine.up_at - self.now())
         if machine.gone:
@@ -489,16 +516,17 @@
     def _sends(self, name: str, commands: list[dict[str, Any]]) -> None:
         """No start leaves a node that knows that its job is over."""
         node = self.hosts[name].node
-        leader = node.leader if node is not None else None
-        for command in commands if leader is not None else ():
-            number = command["piece"].partition("/")[0]
-            job = leader.book.jobs.get(JobId(number)) if leader is not None else None
+        if node is None or node.leader is None:
+            return
+        jobs = node.leader.book.jobs
+        for command in commands:
+            job = jobs.get(JobId(job_of(command["piece"])))
             if command["verb"] == wire.START and (job is None or job.cancelled):
                 self.breach("started_late", f"{command['piece']} by {name}")
 
     async def _again(self, message: dict[str, Any], name: str) -> None:
         await asyncio.sleep(self.rng.uniform(2.0, 2.5 * self.shape.lease_s))
-        if self.hosts[name].node is not None and not self.apart(message["kiln"], name):
+        if not self.apart(message["kiln"], name):
             self._take(message, name)
 
     async def successions(self) -> None:
@@ -518,8 +546,7 @@
     async def _once_more(self, message: dict[str, Any], name: str) -> None:
         """Also while the records are read, and once work was given out."""
         await asyncio.sleep(self.rng.choice([0.0, 0.1, 0.5, 2.0, 5.0]))
-        if self.hosts[name].node is not None:
-            self._take(message, name)
+        self._take(message, name)
 
     # -- users ------------------------------------------------------------------------------------
 
@@ -540,7 +567,6 @@
 
     async def user(self, job: UserJob) -> None:
         """Submits, polls and perhaps cancels one job, as the protocol has users do."""
-        path = f"{wire.JOBS_PATH}/{job.id}"
         until = self.now() + 60.0
         while not job.accepted:
             reply = await self.ask("POST", wire.JOBS_PATH, job.body, _PATIENCE_S)
@@ -551,10 +577,10 @@
             if self.now() > until:
                 return
             await asyncio.sleep(self.rng.uniform(1.0, 2.0))
-        while job.cancelled_at is None and not job.done:
+        while not job.over:
             await asyncio.sleep(self.rng.uniform(4.0, 6.0))
             if job.cancel_at is not None and self.now() >= job.cancel_at:
-                await self._cancel(job, path)
+                await self._cancel(job)
             else:
                 await self._poll(job)
         for _ in range(3):
@@ -568,13 +594,13 @@
         if again:
             reply = await self.ask("POST", wire.JOBS_PATH, job.body, _PATIENCE_S, at)
         else:
-            reply = await self.ask("GET", f"{wire.JOBS_PATH}/{job.id}", None, 2.0, at)
+            reply = await self.ask("GET", job.path, None, 2.0, at)
         self._told(job, reply, before)
 
-    async def _cancel(self, job: UserJob, path: str, at: Host | None = None) -> None:
+    async def _cancel(self, job: UserJob) -> None:
         job.asked_to_cancel = True
         before = job.told
-        reply = await self.ask("POST", f"{path}/{wire.CANCEL_PATH}", {}, _PATIENCE_S, at)
+        reply = await self.ask("POST", f"{job.path}/{wire.CANCEL_PATH}", {}, _PATIENCE_S)
         if reply is not None and reply[0] == 200:
             self._told(job, reply, before)
 
@@ -582,7 +608,7 @@
         self, count: int, hang_s: float = 0.0, within_s: float = 0.2, begun: bool = True
     ) -> None:
         """Users call off so many jobs, those that run; machines of theirs hang."""
-        on = {n.partition("/")[0]: w for w in self.workers.values() for n in w.on()}
+        on = {job_of(n): w for w in self.workers.values() for n in w.on()}
         found = [job for job in self.jobs.values() if job.accepted and not job.asked_to_cancel]
         found = [job for job in found if not job.done and (not begun or job.id in on)][:count]
         if hang_s:
@@ -593,7 +619,7 @@
 
     def _call_off(self, body: bytes | None) -> None:
         for command in orjson.loads(body or b"{}").get("orders", []):
-            job = self.jobs.get(command["piece"].partition("/")[0])
+            job = self.jobs.get(job_of(command["piece"]))
             if command["verb"] == wire.START and job is not None:
                 self.begin(self._cancel_until_told(job, 0.05))
 
@@ -604,17 +630,18 @@
 
     async def _cancel_until_told(self, job: UserJob, after_s: float) -> None:
         await asyncio.sleep(after_s)
-        while job.cancelled_at is None and not job.done:
-            await self._cancel(job, f"{wire.JOBS_PATH}/{job.id}")
+        while not job.over:
+            await self._cancel(job)
             await asyncio.sleep(1.0)
 
     def _completed(self, worker: Worker, name: str) -> None:
         """A task is done; in this moment its job may be called off."""
-        job = self.jobs[name.partition("/")[0]]
-        tasks = {f"{job.id}/{n}" for n in range(job.body["pieces"])}
-        if self.close_looks and tasks <= self.results:
+        job = self.jobs[job_of(name)]
+        if not job.tasks <= self.results:
+            return
+        if self.close_looks:
             self.begin(self._watch_end(job))
-        if tasks <= self.results and not job.done and self.rng.random() < self.at_end:
+        if not job.done and self.rng.random() < self.at_end:
             # The leader hears of the end within a report period.
             after_s = self.rng.uniform(0.0, 1.6 * self.shape.report_s)
             self.begin(self._cancel_until_told(job, after_s))
@@ -637,7 +664,7 @@
     async def _watch_end(self, job: UserJob) -> None:
         """Asked about again and again until the end is told, and for a moment after it."""
         until = self.now() + 1.6 * self.shape.report_s
-        while self.now() < until and not job.done and job.cancelled_at is None:
+        while self.now() < until and not job.over:
             self.begin(self._poll(job))
             await asyncio.sleep(self.rng.uniform(0.02, 0.06))
 
@@ -662,14 +689,12 @@
             self.breach("went_back", f"{job.id} was done and is {said}")
         elif cancelled and said != wire.JOB_CANCELLED:
             self.breach("went_back", f"{job.id} was cancelled and is {said}")
-        elif said in (wire.JOB_DONE, wire.JOB_CANCELLED) and (
-            (job.done and said == wire.JOB_CANCELLED)
-            or (job.cancelled_at is not None and said == wire.JOB_DONE)
+        elif (job.done and said == wire.JOB_CANCELLED) or (
+            job.cancelled_at is not None and said == wire.JOB_DONE
         ):
             self.breach("went_back", f"{job.id} is called done, and cancelled")
         elif said == wire.JOB_DONE:
-            tasks = [f"{job.id}/{n}" for n in range(job.body["pieces"])]
-            if not all(name in self.results for name in tasks):
+            if not job.tasks <= self.results:
                 self.breach("not_done", job.id)
             job.done = True
         elif said == wire.JOB_CANCELLED:
@@ -685,20 +710,15 @@
     def _started(self, worker: Worker, name: str) -> None:
         self.starts += 1
         own = worker.machine
-        for other in self.workers.values():
-            if other is not worker and not other.machine.gone and name in other.on():
+        for other in self.up():
+            if other is not worker and name in other.on():
                 other.tick()
                 if name in other.on():
                     self.breach("ran_twice", f"{name} runs on {other.machine.id}, {own.id}")
-        job = self.jobs[name.partition("/")[0]]
+        job = self.jobs[job_of(name)]
         if job.body["hall"] not in (None, own.zone) or (own.spot and not job.body["loaners"]):
             self.breach("wrong_place", f"{name} on {own.id}")
-        on = [
-            (n.partition("/")[0], w.machine.zone)
-            for w in self.workers.values()
-            if not w.machine.gone
-            for n in w.on()
-        ]
+        on = [(job_of(n), w.machine.zone) for w in self.up() for n in w.on()]
         zones = [zone for number, zone in on if number == job.id]
         most = (job.body["pieces"] + 1) // 2 if job.body["scatter"] else len(zones)
         if (job.body["samePlace"] and len(set(zones)) > 1) or zones.count(own.zone) > most:
@@ -721,17 +741,17 @@
         while True:
             await asyncio.sleep(0.5)
             now = self.now()
-            on = {n for w in self.workers.values() if not w.machine.gone for n in w.on()}
+            on = {job_of(n) for w in self.up() for n in w.on()}
             for job in self.jobs.values():
                 if job.id in said:
                     continue
                 late = job.cancelled_at is not None and (
                     now > job.cancelled_at + self.shape.cancel_s
                 )
-                if late and any(n.partition("/")[0] == job.id for n in on):
+                if late and job.id in on:
                     said.add(job.id)
                     self.breach("ran_cancelled", job.id)
-                open_ = job.accepted and not job.done and job.cancelled_at is None
+                open_ = job.accepted and not job.over
                 if self._beside_room(job, open_, now):
                     said.add(job.id)
                     self.breach("waited", f"{job.id}: {_BESIDE_S:.0f} s beside room")
@@ -754,19 +774,17 @@
         placed = set(self.results)
         team = 0.0
         rooms: list[tuple[str, bool, float]] = []
-        for worker in self.workers.values():
-            if worker.machine.gone:
-                continue
+        for worker in self.up():
             used = 0.0
             for name, task in worker.tasks.items():
-                number = name.partition("/")[0]
+                number = job_of(name)
                 if task.state != wire.EXITED:
                     placed.add(name)
                     used += self.descriptions[number].vcpus
                     if self.jobs[number].body["crew"] == body["crew"]:
                         team += self.descriptions[number].vcpus
             rooms.append((worker.machine.zone, worker.machine.spot, Cloud.VCPUS - used))
-        if all(f"{job.id}/{n}" in placed for n in range(body["pieces"])):
+        if job.tasks <= placed:
             return False
         if body["samePlace"] or body["scatter"] or team + need > self.shape.limit_vcpus:
             return False
@@ -784,9 +802,9 @@
                 continue
             number += 1
             job = self.rng.choice(list(self.jobs.values()))
-            if job.done or job.cancelled_at is not None:
+            if job.over:
                 before = job.told
-                path = f"{wire.JOBS_PATH}/{job.id}/{wire.CANCEL_PATH}"
+                path = f"{job.path}/{wire.CANCEL_PATH}"
                 self._told(job, await self.ask("POST", path, {}, _PATIENCE_S), before)
             elif job.accepted:
                 before = job.told
@@ -872,16 +890,14 @@
     seed: int,
     shape: Shape | None = None,
     trouble_s: float = 150.0,
-    whole: bool = True,
     script: Script | None = None,
     calm_s: float = max(_KNOWN_S, _BESIDE_S) + 60.0,
     until: str = "",
 ) -> World:
     """One day of troubles, and then quiet until every job that can has ended.
 
-    Without `whole` it ends with the first rule that is broken, with `until` once that rule is, and
-    with `script` its troubles are these and not drawn ones. After less quiet than a job may go
-    without an answer nobody asks what was left.
+    With `until` it ends once that rule is broken, and with `script` its troubles are these and not
+    drawn ones. After less quiet than a job may go without an answer nobody asks what was left.
     """
     from tealrill.lab.troubles import Troubles
 
@@ -894,8 +910,8 @@
         try:
             day = world.begin(_day(world, script or drawn, trouble_s, calm_s))
 
-            def breached() -> None:
-                if not whole or world.broken[-1].split()[1] == f"{until}:":
+            def breached(rule: str) -> None:
+                if rule == until:
                     day.cancel()
 
             world.breached = breached
@@ -923,8 +939,7 @@
     if world.starts == 0:
         world.breach("nothing_ran", "no task was started")
     for job in world.jobs.values() if calm_s >= _KNOWN_S else ():
-        tasks = {f"{job.id}/{n}" for n in range(job.body["pieces"])}
-        if job.accepted and not job.asked_to_cancel and not tasks <= world.results:
+        if job.accepted and not job.asked_to_cancel and not job.tasks <= world.results:
             world.breach("left", f"{job.id} did not run to its end")
 
 
--- a/tealrill/state/truce.py
+++ b/tealrill/state/truce.py
@@ -48,7 +48,12 @@
     A worker that is renewed at the end of it runs on for its lease. Where `cancel_s` leaves less
     than a watch takes, nothing but the watch's ordinary pace can be asked for.
     """
-    return max(_LEAST_UNSEEN_S, workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S)
+    return max(_LEAST_UNSEEN_S, _spare_s(workers))
+
+
+def _spare_s(workers: Workers) -> float:
+    """What `cancel_s` leaves beside a worker's lease."""
+    return workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -133,7 +138,7 @@
         # A cancellation can be acknowledged right after a promise was given. The leader may then
         # go on for as long as the promise holds, and the worker for a lease longer.
         self._unseen_s = unseen_s(workers)
-        self.possible = workers.cancel_s - workers.lease_s - _CANCEL_SPARE_S >= PROMISE_S
+        self.possible = _spare_s(workers) >= PROMISE_S
         self._in_truce = False
         self._bounded = False
 
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -453,19 +453,21 @@
         super().check_silence(now)
 
 
-class WorksForWhoAnswers(Fleet):
-    """A machine is given work as soon as it answers a direct command, before it reports."""
-
-    def direct_report(
-        self, report: wire.Report, machine_id: MachineId, now: Steady, wall: Wall
-    ) -> None:
-        super().direct_report(report, machine_id, now, wall)
-        machine = self.machines.get(machine_id)
-        if machine is not None:
-            machine.reported_at = machine.heard_at
+def work_for_who_answers(patch: pytest.MonkeyPatch) -> None:
+    """A machine that answers direct commands may be given work, whether or not it reports."""
+
+    def placeable(self: Machine, now: Steady, silence_s: float) -> bool:
+        return (
+            self.in_order
+            and self.heard_at is not None
+            and now - self.heard_at <= silence_s
+            and now >= self.refused_until
+        )
 
+    patch.setattr(Machine, "placeable", placeable)
 
-class CountsSilenceFromTheSessionBefore(WorksForWhoAnswers):
+
+class CountsSilenceFromTheSessionBefore(Fleet):
     """A session that only a direct command's answer has shown. Nothing is bound in one before its
     first report, so this clause shows only with that one taken away as well."""
 
@@ -525,10 +527,13 @@
 @given(st.integers(0, 2**32))
 @settings(max_examples=250)
 def test_a_sessions_beginning_is_enough_without_its_first_report(seed: int) -> None:
-    Outages(seed, WorksForWhoAnswers).run(STEPS)
+    with pytest.MonkeyPatch.context() as patch:
+        work_for_who_answers(patch)
+        Outages(seed, Fleet).run(STEPS)
 
 
-def test_a_session_counts_from_its_beginning() -> None:
+def test_a_session_counts_from_its_beginning(monkeypatch: pytest.MonkeyPatch) -> None:
+    work_for_who_answers(monkeypatch)
     with pytest.raises(RanTwice):
         for seed in range(20_000):
             Outages(seed, CountsSilenceFromTheSessionBefore).run(STEPS)
@@ -576,10 +581,15 @@
 
 
 @pytest.mark.parametrize(
-    "fleet_class", [Fleet, WorksForWhoAnswers, CountsSilenceFromTheSessionBefore]
+    ("fleet_class", "reports_first"),
+    [(Fleet, True), (Fleet, False), (CountsSilenceFromTheSessionBefore, False)],
 )
-def test_a_session_shown_by_a_direct_answer_has_its_whole_lease(fleet_class: type[Fleet]) -> None:
+def test_a_session_shown_by_a_direct_answer_has_its_whole_lease(
+    fleet_class: type[Fleet], reports_first: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """An outage longer than the lease, then a stop that is refused: the worker's session is new."""
+    if not reports_first:
+        work_for_who_answers(monkeypatch)
     cluster = Cluster(0, fleet_class)
     machine = cluster.workers["m-1"]
     for seq in (1, 2):
@@ -591,7 +601,7 @@
     answer = report("m-1", machine.session, machine.seq, cluster.term)
     cluster.fleet.direct_report(answer, MachineId("m-1"), Steady(cluster.now), Wall(0.0))
     cluster.bind()
-    if fleet_class is Fleet:
+    if reports_first:
         # It has not reported in this session: nothing is bound there.
         assert not list(cluster.job.bindings())
         return
@@ -599,7 +609,7 @@
     while not machine.tasks:
         cluster.direct_round_trip()
     cluster.fleet.check_silence(Steady(cluster.now))
-    assert bool(list(cluster.job.bindings())) is (fleet_class is WorksForWhoAnswers)
+    assert bool(list(cluster.job.bindings())) is (fleet_class is Fleet)
     # Nothing more is heard: its lease, counted from then, ends the binding.
     cluster.now += LEASE_S + 1.0
     cluster.fleet.check_silence(Steady(cluster.now))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import gc
+from collections.abc import Sequence
 from typing import Any, cast
 
 import msgspec
@@ -39,20 +40,23 @@
     "price": 1.0, "marketPrice": 0.4, "startupS": 20, "halls": ["north"],
 }  # fmt: skip
 
+_LARGE = {**_TYPE, "label": "huge", "vcpus": 32}
+
 
 class _NoRentals(Renter):
     def rent(self, rental: Any, now: Steady) -> None:
         self.asked = getattr(self, "asked", 0) + rental.count
 
 
-def _dispatcher() -> tuple[Dispatcher, Fleet, Book, _NoRentals]:
+def _dispatcher(
+    report_s: float = 0.0, types: Sequence[dict[str, Any]] = (_TYPE, _LARGE)
+) -> tuple[Dispatcher, Fleet, Book, _NoRentals]:
     params = settings.parse(orjson.dumps(SETTINGS)).params
     book = Book(8.0)
-    fleet = Fleet(book, Token(1), Steady(0.0), params.workers.lease_s)
+    fleet = Fleet(book, Token(1), Steady(0.0), params.workers.lease_s, 0.0, report_s)
     fleet.inherit([], Steady(0.0))
     renter = _NoRentals(cast(Cloud, None), fleet, Token(1), 2.0, *recorded_at_once())
-    large = {**_TYPE, "label": "huge", "vcpus": 32}
-    renter.take_catalogue(wire.decode(orjson.dumps({"builds": [_TYPE, large]}), wire.Catalogue))
+    renter.take_catalogue(wire.decode(orjson.dumps({"builds": list(types)}), wire.Catalogue))
     dispatcher = Dispatcher(book, fleet, renter, Estimates(), params, lambda _: None)
     return dispatcher, fleet, book, renter
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -151,12 +151,11 @@
     rule: str, fault: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     fault(monkeypatch)
-    # Another rule may break first; this one breaks on some short day.
+    # Other rules may break first; this one breaks on some short day.
     found: set[str] = set()
     for seed in range(1, 5):
         limit = 16.0 if rule == "quota" else 64.0
-        world = play(seed, Shape(limit_vcpus=limit), _SHORT_S, whole=rule == "nothing_ran")
-        found.update(text.split()[1].rstrip(":") for text in world.broken)
+        found |= play(seed, Shape(limit_vcpus=limit), _SHORT_S, until=rule).rules
         if rule in found:
             return
     raise AssertionError(f"{rule} is not among {found}")
@@ -194,8 +193,7 @@
     sound = play(1, Shape(), _SHORT_S, script=_odd_requests, calm_s=calm_s)
     assert not sound.broken
     fault(monkeypatch)
-    broken = play(1, Shape(), _SHORT_S, script=_odd_requests, calm_s=calm_s).broken
-    assert rule in {text.split()[1].rstrip(":") for text in broken}
+    assert rule in play(1, Shape(), _SHORT_S, script=_odd_requests, calm_s=calm_s).rules
 
 
 def test_a_broken_rule_is_told_with_its_day(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_meetings_lab.py
+++ b/tests/test_meetings_lab.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,7 +20,7 @@
 from tealrill.fleet.machines import Fleet, Machine
 from tealrill.fleet.rental import Renter
 from tealrill.lab.troubles import Troubles
-from tealrill.lab.world import Shape, World, play
+from tealrill.lab.world import Script, Shape, World, play
 from tealrill.leader import Leader
 from tealrill.state.acknowledged import Acknowledged
 from tealrill.state.book import Book, Job, job_key
@@ -30,11 +30,11 @@
 from tealrill.state.intake import Intake, Reply
 from tealrill.state.keeper import Keeper
 from tealrill.state.truce import Seen
-from tealrill.types import JobId, MachineId, Revision, Steady, steady_now
+from tealrill.types import JobId, Revision, Steady, steady_now
+from tests.test_bindings import work_for_who_answers
 
 Patch = pytest.MonkeyPatch
 Fault = Callable[[Patch], None]
-Script = Callable[[World], Coroutine[Any, Any, None]]
 
 _LONG = ((1, 25.0), (2, 40.0), (3, 15.0))
 
@@ -123,9 +123,8 @@
     """New machines work before their rental is answered or written down, and leaders end."""
     world.cloud.at_once, world.cloud.answers_s = True, 2.0
     for number in range(6):
-        for machine in [m for m in world.cloud.machines.values() if not m.gone][:3]:
-            machine.gone = True
-            world.cloud.taken(machine)
+        for machine in world.cloud.alive()[:3]:
+            world.cloud.take(machine)
         if number < 4:
             world.state.late = 0.2
             await asyncio.sleep(7.0)
@@ -210,10 +209,8 @@
     run."""
     for number in range(4):
         await asyncio.sleep(5.0)
-        alive = [m for m in world.cloud.machines.values() if not m.gone]
-        for machine in alive[number % 2 :: 3]:
-            machine.gone = True
-            world.cloud.taken(machine)
+        for machine in world.cloud.alive()[number % 2 :: 3]:
+            world.cloud.take(machine)
         world.parted = True
         unlisted = [frozenset((name, "cloud")) for name in world.hosts]
         world.cut.update(unlisted)
@@ -483,21 +480,6 @@
     patch.setattr(Fleet, "_must_lapse", lambda *_: False)
 
 
-def _work_for_who_answers(patch: Patch) -> None:
-    """A machine that answers direct commands may be given work, whether or not it reports."""
-    whole = Fleet.direct_report
-
-    def direct_report(
-        self: Fleet, report: Any, machine_id: MachineId, now: Steady, *rest: Any
-    ) -> None:
-        whole(self, report, machine_id, now, *rest)
-        machine = self.machines.get(machine_id)
-        if machine is not None:
-            machine.reported_at = machine.heard_at
-
-    patch.setattr(Fleet, "direct_report", direct_report)
-
-
 def _no_stops(patch: Patch) -> None:
     """A machine that was told once to stop a task is not told again."""
     whole = Fleet.stops
@@ -576,7 +558,7 @@
     "mute machines": Meeting(
         _mute,
         Shape(machines=6, every_s=1.5, jobs=_LONG),
-        (("ran_twice", _silence_from_nothing), ("given_work", _work_for_who_answers)),
+        (("ran_twice", _silence_from_nothing), ("given_work", work_for_who_answers)),
     ),
     "zones lose machines": Meeting(
         _zones_lose_machines,
@@ -619,7 +601,7 @@
 
 
 def _play(meeting: Meeting, seed: int, until: str = "") -> World:
-    return play(seed, meeting.shape, 60.0, True, meeting.script, meeting.calm_s, until)
+    return play(seed, meeting.shape, 60.0, meeting.script, meeting.calm_s, until)
 
 
 @functools.cache
@@ -645,8 +627,7 @@
     fault(monkeypatch)
     found: set[str] = set()
     for seed in range(1, 7):
-        world = _play(_MEETINGS[name], seed, rule)
-        found.update(text.split()[1].rstrip(":") for text in world.broken)
+        found |= _play(_MEETINGS[name], seed, rule).rules
         if rule in found:
             return
     raise AssertionError(f"{rule} is not among {found}")
@@ -657,5 +638,5 @@
     world = _sound("one-task jobs by the hundred")
     assert not world.broken and len(world.jobs) > 200
     assert len(world.state.log) <= 5 * len(world.jobs) + 150
-    open_ = [j for j in world.jobs.values() if j.accepted and not j.done and not j.cancelled_at]
+    open_ = [job for job in world.jobs.values() if job.accepted and not job.over]
     assert len(open_) < 0.05 * len(world.jobs)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -8,20 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
-import orjson
 import pytest
 
-from tealrill import settings, wire
-from tealrill.fleet.cloud import Cloud
-from tealrill.fleet.dispatch import Dispatcher
-from tealrill.fleet.machines import Fleet
-from tealrill.fleet.rental import Renter
 from tealrill.scheduler import blame as blame_module
-from tealrill.scheduler.estimates import Estimates
 from tealrill.scheduler.model import Policy
-from tealrill.state.book import Binding, Book, Job
+from tealrill.state.book import Binding, Job
 from tealrill.types import (
     Attempt,
     JobId,
@@ -30,38 +23,23 @@
     Session,
     Steady,
     TaskId,
-    Token,
     Wall,
 )
-from tests.samples import SETTINGS, recorded_at_once, report, spec
+from tests.samples import report, spec
+from tests.test_dispatch import _TYPE, _dispatcher
 
 _REPORT_S = 1.0
 _LEASE_S = 8.0
-_TYPE = {
-    "label": "big", "vcpus": 8, "gpus": 0, "memoryGb": 64, "localGb": 50, "fetchGbPerS": 1.0,
-    "price": 1.0, "marketPrice": 0.4, "startupS": 20, "halls": ["north", "south"],
-}  # fmt: skip
-
-
-class _NoRentals(Renter):
-    def rent(self, rental: Any, now: Steady) -> None:
-        """There are no more machines than those that are up."""
 
 
 class _World:
     """A leader in its first moments, with one machine that reports."""
 
     def __init__(self, report_s: float = _REPORT_S) -> None:
-        params = settings.parse(orjson.dumps(SETTINGS)).params
         self.report_s = report_s
-        self.now = Steady(100.0)
-        self.book = Book(8.0)
-        self.fleet = Fleet(self.book, Token(1), self.now, _LEASE_S, 0.0, report_s)
-        renter = _NoRentals(cast(Cloud, None), self.fleet, Token(1), 2.0, *recorded_at_once())
-        renter.take_catalogue(wire.decode(orjson.dumps({"builds": [_TYPE]}), wire.Catalogue))
-        self.dispatcher = Dispatcher(
-            self.book, self.fleet, renter, Estimates(), params, lambda _: None
-        )
+        self.now = Steady(0.0)
+        # There are no more machines than those that are up, and none is dearer than the others.
+        self.dispatcher, self.fleet, self.book, _ = _dispatcher(report_s, [_TYPE])
         self.seq = 0
         self.lines: list[tuple[str, int, str, str | None]] = []
         self.number = 0
