--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -108,6 +109,21 @@
     patch.setattr(Dispatcher, "run", lambda *_: None)
 
 
+def _passes_over(patch: pytest.MonkeyPatch) -> None:
+    """Every third job is never placed, and the machines that it could use stay."""
+    whole = Dispatcher._waiting
+
+    def waiting(self: Dispatcher, job: Job, now: Steady) -> int:
+        return 0 if job.id.endswith(("3", "6", "9")) else whole(self, job, now)
+
+    patch.setattr(Dispatcher, "_waiting", waiting)
+    patch.setattr(Dispatcher, "_return", lambda *_: None)
+
+
+def _takes_anything(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Intake, "problem", lambda *_: None)
+
+
 def _ends_by_itself(patch: pytest.MonkeyPatch) -> None:
     async def watch(*_: object) -> None:
         raise ValueError("planted")
@@ -146,6 +162,29 @@
     raise AssertionError(f"{rule} is not among {found}")
 
 
+async def _odd_requests(world: World) -> None:
+    world.odd = True
+    await asyncio.sleep(20.0)
+    world.odd = False
+
+
+@pytest.mark.parametrize(
+    ("rule", "fault", "calm_s"),
+    [("waited", _passes_over, 105.0), ("accepted", _takes_anything, 1.0)],
+)
+def test_what_is_newly_counted_is_watched(
+    rule: str,
+    fault: Callable[[pytest.MonkeyPatch], None],
+    calm_s: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sound = play(1, Shape(), _SHORT_S, script=_odd_requests, calm_s=calm_s)
+    assert not sound.broken
+    fault(monkeypatch)
+    broken = play(1, Shape(), _SHORT_S, script=_odd_requests, calm_s=calm_s).broken
+    assert rule in {text.split()[1].rstrip(":") for text in broken}
+
+
 def test_a_broken_rule_is_told_with_its_day(monkeypatch: pytest.MonkeyPatch) -> None:
     args = ["hunt", "--days", "1", "--seed", "2", "--for-s", "30"]
     fine = CliRunner().invoke(main, args)
--- a/tools/variants.py
+++ b/tools/variants.py
@@ -6,8 +6,10 @@
     python3 -m tools.variants days SITE.toml DIR --theme refused --cancelled 0.4 --long-s 200
 
 `refused` has the state service refuse the leader alone and then everybody, with other troubles in
-between; `meetings` has pairs of troubles that broke rules elsewhere. A variant keeps the wire
-file's name, so it belongs beside a copy of that file. A day is played by
+between; `meetings` has pairs of troubles that broke rules elsewhere, and `shown` those of real
+machines (users who call off, look closely and err; mute machines; answers alone that are lost;
+reports kept for the next leader). A variant keeps the wire file's name, so it belongs beside a copy
+of that file. A day is played by
 `fleetbench run VARIANT.toml DAY.toml --report R.json`; the same seed draws the same days. Figures
 that come of them are of simulated machines.
 """
@@ -40,6 +42,9 @@
             )
             self.types = sorted({str(part["type"]) for part in values["capacity"]})
             self.classes = [str(job["name"]) for job in values["jobs"]]
+            workers = values.get("workers", {})
+            self.lease_s = float(workers.get("lease_s", 10.0))
+            self.cancel_s = float(workers.get("cancel_s", 30.0))
             self.urgent = [str(j["name"]) for j in values["jobs"] if j.get("priority") == "high"]
         except (KeyError, TypeError, ValueError) as error:
             raise click.UsageError(f"the site file lacks or mistypes {error}") from None
@@ -341,6 +346,147 @@
     return [{**other, "at_s": round(rng.uniform(0.0, 12.0), 1)}]
 
 
+# -- what real machines showed ---------------------------------------------------------------------
+
+
+def _cancel_now(rng: random.Random, hang_s: float | None = None) -> Fault:
+    """Jobs that run and have long to go, called off within a fifth of a second."""
+    count = rng.choice([1, 8, 40])
+    hangs: Fault = {} if hang_s is None else {"hang_s": hang_s}
+    return {"kind": "cancel_now", "count": count, **hangs}
+
+
+def _hang_s(rng: random.Random, site: Site) -> float:
+    """Well below, about, and above the workers' lease; longer than `cancel_s`."""
+    times = rng.choice([0.3, 0.95, 1.05, 1.5])
+    return round(rng.choice([times * site.lease_s, site.cancel_s + 5.0]), 2)
+
+
+def _at_end(rng: random.Random) -> Fault:
+    share = rng.choice([0.3, 1.0])
+    return {"kind": "cancel_at_end", "share": share, "for_s": rng.choice([20.0, 60.0])}
+
+
+def _close_looks(rng: random.Random) -> Fault:
+    return {"kind": "close_looks", "for_s": rng.choice([30.0, 90.0])}
+
+
+def _odd(rng: random.Random) -> Fault:
+    return {"kind": "odd_requests", "for_s": rng.choice([30.0, 90.0])}
+
+
+def _lost_answers(rng: random.Random, site: Site) -> Fault:
+    """Carried out at once; only the writer does not know."""
+    return {**_late_writes(rng, site), "at_once": True}
+
+
+def _for_next(rng: random.Random, site: Site) -> Fault:
+    return {**_late_reports(rng, site), "for_next": True}
+
+
+def _mute(rng: random.Random, site: Site) -> Fault:
+    return {**_deaf(rng, site), "kind": "machine_mute"}
+
+
+def _after(first: Sequence[Fault], more: Sequence[tuple[float, Fault]]) -> list[Fault]:
+    """What is there from the beginning, and what follows it."""
+    begun = [{**fault, "at_s": 0.0} for fault in first]
+    return [*begun, *({**fault, "at_s": round(at_s, 2)} for at_s, fault in more)]
+
+
+def _looked_at(rng: random.Random, site: Site) -> list[Fault]:
+    """Close looks while jobs end, are called off and are sent anew, and something breaks."""
+    first = [_close_looks(rng), _at_end(rng), _odd(rng)]
+    breaks = rng.choice([_outage(rng), _crash(rng, site, rng.randint(1, site.nodes))])
+    return _after(first, [(rng.uniform(2.0, 15.0), breaks), (8.0, _cancel_now(rng))])
+
+
+def _answers_lost(rng: random.Random, site: Site) -> list[Fault]:
+    first = [_lost_answers(rng, site), _close_looks(rng), _at_end(rng)]
+    ends = [(rng.uniform(1.0, 20.0), _crash(rng, site)) for _ in range(2)]
+    return _after(first, [*ends, (6.0, _cancel_now(rng))])
+
+
+def _hung_and_called_off(rng: random.Random, site: Site) -> list[Fault]:
+    """Everybody wants more than there is; jobs on machines that hang are called off."""
+    first: list[Fault] = [
+        {"kind": "job_burst", "class": name, "factor": 3.0, "for_s": 60.0} for name in site.classes
+    ]
+    at_s = rng.uniform(15.0, 40.0)
+    off = _cancel_now(rng, _hang_s(rng, site))
+    ends = at_s + rng.choice([-0.5, 0.1, 1.0, 4.0])
+    return _after(first, [(at_s, off), (ends, _crash(rng, site)), *_more(rng, site, at_s)])
+
+
+def _more(rng: random.Random, site: Site, at_s: float) -> list[tuple[float, Fault]]:
+    other = rng.choice([_deaf, _mute, _late_reports, _for_next, _lost_answers, _late_writes])
+    return [(at_s, other(rng, site))]
+
+
+def _called_off_in_hand_over(rng: random.Random, site: Site) -> list[Fault]:
+    changes: list[Fault] = [
+        {"kind": "node_roll", "every_s": round(rng.uniform(1.0, 8.0), 1)},
+        _crash(rng, site),
+        {**_frozen(rng, site)[0]},
+    ]
+    offs = [(round(rng.uniform(-0.3, 6.0), 2) + 1.0, _cancel_now(rng)) for _ in range(4)]
+    return _after([], [(1.0, rng.choice(changes)), *offs])
+
+
+def _up_at_once(rng: random.Random, site: Site) -> list[Fault]:
+    """New machines report before anybody could write down that they were rented."""
+    boots: Fault = {"kind": "boot_trouble", "fail": 0.0, "factor": 0.03, "for_s": 90.0}
+    lost: Fault = {"kind": "machine_die", "count": max(1, int(0.25 * site.machines))}
+    write = rng.choice([_late_writes, _lost_answers])(rng, site)
+    ends = [(rng.uniform(2.0, 12.0), _crash(rng, site)) for _ in range(2)]
+    return _after([boots, write], [(1.0, lost), *ends])
+
+
+def _kept_for_next(rng: random.Random, site: Site) -> list[Fault]:
+    first = [_for_next(rng, site), _late_reports(rng, site)]
+    ends = [(4.0 + 9.0 * n, _crash(rng, site, rng.choice([1, 1, site.nodes]))) for n in range(4)]
+    return _after(first, [*ends, (10.0, _cancel_now(rng, _hang_s(rng, site)))])
+
+
+def _refused_and_called_off(rng: random.Random, site: Site) -> list[Fault]:
+    """In the moment of the refusal; a second later nobody is served for longer than `cancel_s`."""
+    out: Fault = {"kind": "state_outage", "for_s": round(site.cancel_s + rng.uniform(5.0, 40.0), 1)}
+    alone = _alone(rng.choice([0.9, site.cancel_s + 20.0]))
+    off = _cancel_now(rng, rng.choice([None, _hang_s(rng, site)]))
+    at_s = rng.choice([0.0, 0.1, 0.4, 0.9])
+    return _after([alone], [(at_s, off), (1.0, out), (0.5, _close_looks(rng))])
+
+
+def _muted(rng: random.Random, site: Site) -> list[Fault]:
+    ends = [(rng.uniform(0.0, 20.0), _crash(rng, site)) for _ in range(rng.randint(0, 2))]
+    off = (rng.uniform(0.0, 10.0), _cancel_now(rng, rng.choice([None, _hang_s(rng, site)])))
+    return _after([_mute(rng, site)], [off, *ends])
+
+
+def _zone_away(rng: random.Random, site: Site) -> list[Fault]:
+    """A zone with its workers and its controller, for longer than the workers' lease."""
+    for_s = round(site.lease_s * rng.choice([1.1, 2.0, 3.0]), 1)
+    mode = rng.choice(["hold", "reset"])
+    cut: Fault = {"kind": "zone_cut", "zone": rng.choice(site.zones), "for_s": for_s, "mode": mode}
+    return _after([cut], [(rng.uniform(0.0, for_s), _cancel_now(rng)), (2.0, _crash(rng, site))])
+
+
+def _ten_leaders(rng: random.Random, site: Site) -> list[Fault]:
+    ends = [(12.0 * n, _crash(rng, site)) for n in range(10)]
+    offs = [(rng.uniform(0.0, 100.0), _cancel_now(rng)) for _ in range(3)]
+    out = [(rng.uniform(20.0, 60.0), _outage(rng))]
+    return _after([rng.choice([_deaf, _mute])(rng, site)], [*ends, *offs, *out])
+
+
+def _nobody(rng: random.Random, site: Site) -> list[Fault]:
+    """All controllers away for longer than the workers' lease."""
+    down: Fault = {
+        "kind": "node_down", "count": site.nodes, "busiest": True,
+        "for_s": round(site.lease_s * rng.choice([1.1, 1.6]), 1),
+    }  # fmt: skip
+    return _after([down], [(0.0, _cancel_now(rng)), (1.0, _close_looks(rng))])
+
+
 THEMES: Final[dict[str, tuple[Draw, ...]]] = {
     "restarts": (_volley, _loop, _in_outage, _in_cut, _in_fall, _rolled),
     "silent": (_silent,),
@@ -354,6 +500,10 @@
         _refused, _cut_off, _ends_among_deaf, _late_and_ended, _late_copies, _held, _slow_outage,
         _volley, _rolled,
     ),
+    "shown": (
+        _looked_at, _answers_lost, _hung_and_called_off, _called_off_in_hand_over, _up_at_once,
+        _kept_for_next, _refused_and_called_off, _muted, _zone_away, _ten_leaders, _nobody,
+    ),
     "all": (
         _volley, _in_outage, _in_cut, _in_fall, _rolled, _silent, _lost_link, _boots, _polls,
         _surge, _hung, _spot, _slow_node, _frozen,
@@ -453,9 +603,18 @@
 
 
 def _changed(
-    name: str, site: Site, cancelled: float | None, long_s: float | None
+    name: str,
+    site: Site,
+    cancelled: float | None,
+    long_s: float | None,
+    tasks: int | None = None,
+    rate: float | None = None,
 ) -> dict[str, Any]:
     job: dict[str, Any] = {"name": name}
+    if tasks is not None:
+        job["tasks"] = {"median": float(tasks), "p95": float(tasks), "max": float(tasks)}
+    if rate is not None and (name in site.urgent or not site.urgent):
+        job["arrivals"] = {"rate": rate}
     if cancelled is not None:
         job["cancelled"] = cancelled
     if long_s is not None and name not in site.urgent:
@@ -475,6 +634,8 @@
 @click.option("--mistakes", is_flag=True, help="Four in a hundred jobs fail everywhere.")
 @click.option("--cancelled", type=click.FloatRange(0.0, 1.0), help="Share of jobs cancelled.")
 @click.option("--long-s", type=_FACTOR_S, help="Run time of the tasks that are not urgent.")
+@click.option("--tasks", type=click.IntRange(min=1), help="Of every job.")
+@click.option("--rate", type=_FACTOR, help="Urgent jobs a second.")
 def write_days(
     site: Path,
     where: Path,
@@ -484,10 +645,12 @@
     mistakes: bool,
     cancelled: float | None,
     long_s: float | None,
+    tasks: int | None,
+    rate: float | None,
 ) -> None:
     """Draws days of one theme; each file's name has the theme and its seed."""
     found = Site(load(site))
-    jobs = [_changed(name, found, cancelled, long_s) for name in found.classes]
+    jobs = [_changed(name, found, cancelled, long_s, tasks, rate) for name in found.classes]
     where.mkdir(parents=True, exist_ok=True)
     for each in range(seed, seed + count):
         text = day(
