--- a/tealrill/simulation/faults.py
+++ b/tealrill/simulation/faults.py
@@ -55,6 +55,7 @@
             self.partition_zones,
             self.cancel_while_refused,
             self.flapping,
+            self.change_leaders,
         ]
         tasks: list[asyncio.Task[None]] = []
         while self.world.now() < until:
@@ -182,6 +183,21 @@
                 self.world.end(host, self._back_s())
             await asyncio.sleep(self.rng.choice([0.7, 2.0]))
 
+    async def change_leaders(self, every_s: float = 0.0, for_s: float = 0.0) -> None:
+        """Kill all controllers every few seconds, and cancel jobs that run meanwhile.
+
+        `every_s` is drawn if it is 0, and so is `for_s`.
+        """
+        every_s = every_s or self.rng.uniform(1.5, 3.0)
+        for_s = for_s or self.world.shape.cancel_s * self.rng.choice([0.5, 1.5])
+        cancellations = self.world.begin(self._cancellations(for_s))
+        until = self.world.now() + for_s
+        while self.world.now() < until:
+            for host in self.world.hosts.values():
+                self.world.end(host, self.rng.choice([0.1, 0.3, 0.5]))
+            await asyncio.sleep(every_s)
+        await cancellations
+
     async def terminate_machine(self) -> None:
         """Terminate a machine."""
         alive = self.world.cloud.alive()
