Leader: every answer that renews a worker's lease carries the stops that are wanted

Cause: a heartbeat with an older token, or one that a direct command had overtaken, was answered 200 without commands, because its list may be old; the stop was left to the next heartbeat. So a right (the lease) was renewed on two paths without the check that the third makes. A worker sends the next heartbeat early for a higher token at most once in half a lease, otherwise 2.5 s later, to a new term. Change: `HeartbeatProcessor._renew` is the one place that renews. With an old list it gives the stops of bindings that are to end, and of listed tasks without a binding whose job is not open here. Starts and leave to forget attempts still need a list of this term. Why it holds: a stop names its attempt, which is never used again, so where that is gone or was never there it does nothing; a worker that drops the answer is not renewed by it either. What a leader must know before it renews (`Leader.informed`) is unchanged, so a term needs a single answer. Found by: the simulation checks each 200 (`renewed_unstopped`). With the stops in first answers taken away it finds that and ran_cancelled.

--- a/tealrill/fleet/commands.py
+++ b/tealrill/fleet/commands.py
@@ -8,7 +8,7 @@
 from tealrill import wire
 from tealrill.fleet.machine import UNKNOWN_EXIT, Machine
 from tealrill.state.bindings import Binding, Stop
-from tealrill.types import HeartbeatSequence, Monotonic
+from tealrill.types import HeartbeatSequence, Monotonic, parse_task_id
 
 if TYPE_CHECKING:
     from tealrill.fleet.inventory import Fleet
@@ -37,6 +37,28 @@
                     commands.append(wire.start(str(binding.task), binding.attempt))
         return commands
 
+    def stops_for_old_list(
+        self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic
+    ) -> list[dict[str, Any]]:
+        """Return the stops for a response to a heartbeat whose list may be out of date.
+
+        A stop names its attempt, so it does nothing where that is gone or not there yet. Of the
+        listed tasks that no binding covers only those are stopped whose job is not open here.
+        """
+        commands = self.stops(machine, now)
+        for status in heartbeat.tasks:
+            binding = machine.named.get(status.task)
+            is_bound = binding is not None and binding.attempt == status.attempt
+            if status.state != wire.EXITED and not is_bound and not self._is_open(status.task):
+                commands.append(wire.stop(status.task, status.attempt, 0.0))
+        return commands
+
+    def _is_open(self, task_name: str) -> bool:
+        """Whether the task is one of a job that has not ended, as far as this leader knows."""
+        task = parse_task_id(task_name)
+        job = self._fleet.job_store.jobs.get(task.job) if task is not None else None
+        return task is None or (job is not None and not job.cancelled)
+
     def _to_send(self, binding: Binding) -> bool:
         """Whether its start goes with a heartbeat's response.
 
--- a/tealrill/fleet/heartbeats.py
+++ b/tealrill/fleet/heartbeats.py
@@ -63,12 +63,12 @@
         if self._must_fence(machine, heartbeat, now):
             return None
         if self._out_of_date(machine, heartbeat):
-            return self._acknowledge_overtaken(machine, heartbeat, now)
+            if not self._is_in_flight(machine, heartbeat):
+                return None
+            return self._renew(machine, heartbeat, now, list_is_current=False)
         self._detect_inbound_partition(machine, heartbeat, now)
-        machine.answered_at = now
-        if not self._process(machine, heartbeat, now, wall, direct=False):
-            return []
-        return self._command(machine, heartbeat, now)
+        list_is_current = self._process(machine, heartbeat, now, wall, direct=False)
+        return self._renew(machine, heartbeat, now, list_is_current)
 
     def _check(self, heartbeat: wire.Heartbeat, machine_id: MachineId) -> bool:
         """Whether this term may answer the machine at all."""
@@ -83,19 +83,25 @@
         )
 
     @staticmethod
-    def _acknowledge_overtaken(
-        machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic
-    ) -> list[dict[str, Any]] | None:
-        if machine.incarnation == heartbeat.incarnation and not machine.lease_expired:
-            # A direct command overtook it. Its list is old, but it is the worker's report in
-            # flight: it is answered, so that the worker stays and its lease goes on.
-            machine.answered_at = now
-            return []
-        return None
+    def _is_in_flight(machine: Machine, heartbeat: wire.Heartbeat) -> bool:
+        """Whether the worker may still wait for the answer to a heartbeat with an old list.
 
-    def _command(
-        self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic
+        A direct command overtook it. It is answered, so that the worker stays and is renewed.
+        """
+        return machine.incarnation == heartbeat.incarnation and not machine.lease_expired
+
+    def _renew(
+        self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic, list_is_current: bool
     ) -> list[dict[str, Any]]:
+        """Renew the worker's lease; return the commands that go with it.
+
+        Every answer that renews is made here, with the stops that are wanted, however old the
+        heartbeat's list: this leader's term may be over before the worker's next heartbeat, and so
+        may each later one.
+        """
+        machine.answered_at = now
+        if not list_is_current:
+            return self._fleet.commands.stops_for_old_list(machine, heartbeat, now)
         if machine.settled is not None:
             return []
         commands = self._fleet.commands.for_response(machine, heartbeat, now)
@@ -238,7 +244,7 @@
         was_current = machine.current
         machine.current = heartbeat.token == self._term
         if not machine.current:
-            # The list may be older than this term; the token makes the worker report again.
+            # The list may be older than this term: it proves nothing.
             return False
         if first or not was_current:
             self._fleet.changed()
--- a/tealrill/simulation/invariants.py
+++ b/tealrill/simulation/invariants.py
@@ -128,3 +128,22 @@
             job = jobs.get(JobId(job_of(command["piece"])))
             if command["verb"] == wire.START and (job is None or job.cancelled):
                 self.world.breach("started_late", f"{command['piece']} by {name}")
+
+    def check_renewal(
+        self, name: str, heartbeat: dict[str, Any], commands: list[dict[str, Any]]
+    ) -> None:
+        """Check that a lease is renewed only with the stops of what the leader knows has ended."""
+        node = self.world.hosts[name].node
+        if node is None or node.leader is None:
+            return
+        jobs = node.leader.job_store.jobs
+        stopped = {(c["piece"], c["try"]) for c in commands if c["verb"] == wire.STOP}
+        for line in heartbeat["pieces"]:
+            job = jobs.get(JobId(job_of(line["piece"])))
+            has_ended = job is None or job.cancelled
+            if (
+                has_ended
+                and line["status"] != wire.EXITED
+                and (line["piece"], line["try"]) not in stopped
+            ):
+                self.world.breach("renewed_unstopped", f"{line['piece']} by {name}")
--- a/tealrill/simulation/worker_fleet.py
+++ b/tealrill/simulation/worker_fleet.py
@@ -162,7 +162,10 @@
         found = wire.decode(orjson.dumps(message), wire.Heartbeat)
         status, answer = host.context.run(node.handle_heartbeat, found, MachineId(found.machine))
         self.world.digest.add(self.world.now(), name, message, status, answer)
-        self.world.invariants.check_commands(name, answer.get("orders", []))
+        commands = answer.get("orders", [])
+        self.world.invariants.check_commands(name, commands)
+        if status == 200:
+            self.world.invariants.check_renewal(name, message, commands)
         return status, answer
 
     async def _deliver_once(
--- a/tests/test_leader_churn.py
+++ b/tests/test_leader_churn.py
@@ -4,14 +4,43 @@
 controller was killed or frozen again and again, so that no term lasted longer than two or three
 seconds. The worker's heartbeats were answered with 200 by one term after the other, and it listed
 the cancelled task in each of them.
+How it came about: the first heartbeat that reaches a term carries an older token. It was answered
+200, which renews the lease, without any command, since its list may be older than the term; the
+stop was left to the next one. A worker sends that early, after half a second, for a higher token at
+most once in half a lease, and otherwise 2.5 s later. By then the next term had begun.
+Cause: a right was renewed on one path without the check that another path makes: that what has to
+end is stopped by the very answer.
+Proof: in the records each 200 after the cancellation is the first of its token, and the early
+heartbeats come where that pace has them: at 42.12 and 50.17 s, to a frozen and to a killed leader.
+In the first day below eleven such answers follow one another, without a command. With the stop in
+them, and nothing else changed, the rule holds on all days.
 """
 
 from __future__ import annotations
 
+from typing import Any, Final
+
+import pytest
+
+from tealrill import wire
+from tealrill.fleet.commands import Commands
+from tealrill.fleet.inventory import Fleet
 from tealrill.simulation.cluster import SimulatedCluster
 from tealrill.simulation.faults import FaultInjector
 from tealrill.simulation.process import Shape
 from tealrill.simulation.scenario import play
+from tealrill.state.job_store import JobStore
+from tealrill.state.records import BoundEntry, encode_chunk
+from tealrill.types import (
+    Attempt,
+    FencingToken,
+    Incarnation,
+    MachineId,
+    Monotonic,
+    Revision,
+    Wall,
+)
+from tests.samples import report, spec
 
 LONG_JOBS = ((4, 90.0), (6, 100.0), (2, 120.0))
 """Tasks and run times in seconds: none ends by itself before its time to be gone."""
@@ -36,14 +65,90 @@
 """Controllers, seconds between their ends, seed."""
 
 
+def _play(nodes: int, every_s: float, seed: int) -> SimulatedCluster:
+    async def script(world: SimulatedCluster) -> None:
+        await FaultInjector(world).change_leaders(every_s, CHURN_S)
+
+    return play(seed, _shape(nodes), CHURN_S, script=script, calm_s=5.0)
+
+
 def test_cancelled_tasks_end_in_time_while_leaders_change() -> None:
     broken: list[str] = []
     for nodes, every_s, seed in DAYS:
-
-        async def script(world: SimulatedCluster, every_s: float = every_s) -> None:
-            await FaultInjector(world).change_leaders(every_s, CHURN_S)
-
-        world = play(seed, _shape(nodes), CHURN_S, script=script, calm_s=5.0)
+        world = _play(nodes, every_s, seed)
         broken += [f"{nodes} controllers, every {every_s} s: {text}" for text in world.broken]
         assert sum(job.cancelled_at is not None for job in world.jobs.values()) >= 4
     assert not broken
+
+
+def test_a_first_answer_without_stops_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Commands, "stops_for_old_list", lambda *_: [])
+    assert {"ran_cancelled", "renewed_unstopped"} <= _play(5, 1.5, 1).rules
+
+
+# -- one answer at a time --------------------------------------------------------------------------
+
+MACHINE = MachineId("m-000001")
+TERM = FencingToken(7)
+ELECTED_AT = Monotonic(100.0)
+TASK = "wk-000412/0"
+RUNNING: Final[list[tuple[str, int, str, str | None]]] = [(TASK, 1, wire.RUNNING, None)]
+STOP = wire.stop(TASK, 1, 0.0)
+
+
+class Term:
+    """A leader that has just read its records; a former one had started one task."""
+
+    def __init__(self, bound: bool = True, cancelled: bool = True) -> None:
+        self.job_store = JobStore(4.0)
+        self.job = self.job_store.add(spec(pieces=1), Wall(0.0), Revision(1))
+        entry = BoundEntry(MACHINE, Incarnation(1), Attempt(1), False, False, Wall(0.0))
+        record = encode_chunk(1, [entry.encode(Attempt(2)) if bound else [2]], {})
+        bindings = self.job_store.load(self.job, 0, record, Revision(2))
+        self.fleet = Fleet(self.job_store, TERM, ELECTED_AT, 15.25)
+        self.fleet.inherit(bindings, ELECTED_AT)
+        self._answers = 0
+        if cancelled:
+            self.cancel()
+
+    def cancel(self) -> None:
+        self.job_store.cancel(self.job)
+        for binding in self.job.bindings():
+            self.fleet.commands.stop(binding, "cancelled", 0.0, ELECTED_AT)
+
+    def answer(self, sequence: int, token: int) -> list[dict[str, Any]] | None:
+        """The commands of the answer to a heartbeat that lists the task."""
+        self._answers += 1
+        now = Monotonic(ELECTED_AT + self._answers)
+        heartbeat = report(MACHINE, 1, sequence, token, RUNNING)
+        return self.fleet.heartbeats.process(heartbeat, MACHINE, now, Wall(0.0))
+
+
+def test_the_first_answer_of_a_term_has_the_stop() -> None:
+    assert Term().answer(sequence=5, token=TERM - 1) == [STOP]
+
+
+def test_the_answer_to_an_overtaken_heartbeat_has_the_stop() -> None:
+    term = Term()
+    assert term.answer(sequence=6, token=TERM) == [STOP]
+    assert term.answer(sequence=5, token=TERM) == [STOP]
+    assert term.answer(sequence=4, token=TERM - 1) == [STOP]
+
+
+def test_a_cancellation_reaches_a_machine_on_which_nothing_changes() -> None:
+    term = Term(cancelled=False)
+    assert [term.answer(n, TERM) for n in (5, 6, 7)] == [[], [], []]
+    term.cancel()
+    assert term.answer(8, TERM) == [STOP]
+
+
+def test_the_first_answer_stops_what_no_record_covers_once_its_job_has_ended() -> None:
+    """Its job is over, or the leader does not know it: nothing else would end it."""
+    assert Term(bound=False).answer(sequence=5, token=TERM - 1) == [STOP]
+
+
+def test_an_old_list_stops_nothing_of_an_open_job() -> None:
+    assert Term(cancelled=False).answer(sequence=5, token=TERM - 1) == []
+    assert Term(bound=False, cancelled=False).answer(sequence=5, token=TERM - 1) == []
+    # The term's own list counts: this attempt has no record any more.
+    assert Term(bound=False, cancelled=False).answer(sequence=5, token=TERM) == [STOP]
