Log and status: cancelled tasks that are still bound, the age of the cancellation, what was read

Cause: the records of the incident could not tell whether an answer that renewed a lease carried the stop, by what a leader had learned of the cancellation, nor which revision it had read; a new term knew a stop's age from its own beginning only. A take-over's line has the revision, its duration and the cancelled tasks that are bound; a cancellation's lines have the revision or by whose word.

--- a/tealrill/daemon.py
+++ b/tealrill/daemon.py
@@ -337,7 +337,7 @@
 
     def _cancelled_elsewhere(self, job: str) -> None:
         if self.leader is not None:
-            self.leader.lifecycle.on_cancelled(job)
+            self.leader.lifecycle.on_cancelled(job, "word of a member")
 
     # -- what is shown --------------------------------------------------------------------------
 
--- /dev/null
+++ b/tealrill/fleet/cancelled_tasks.py
@@ -0,0 +1,98 @@
+"""Tasks of cancelled jobs that may still run: what the log and the operators are shown of them."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import Any, Final
+
+from tealrill import wire
+from tealrill.fleet.machine import Machine
+from tealrill.state.bindings import Job
+from tealrill.state.job_store import JobStore
+from tealrill.types import FencingToken, MachineId, TaskId, Wall
+
+log = logging.getLogger(__name__)
+
+_ROWS_SHOWN: Final = 20
+
+
+@dataclass(frozen=True, slots=True)
+class CancelledJob:
+    """A cancelled job with tasks that are still bound."""
+
+    id: str
+    cancelled_s_ago: float
+    """Since its cancellation was recorded, whoever led then."""
+    tasks: int
+    machines: list[MachineId]
+    """In order, up to the number that operators are shown."""
+
+
+class CancelledTasks:
+    """Follows the stops of one term, by the answers that renew workers' leases."""
+
+    def __init__(self, job_store: JobStore, term: FencingToken) -> None:
+        self._job_store = job_store
+        self._term = term
+        self._logged: set[tuple[TaskId, MachineId]] = set()
+        self.renewals_with_stops = 0
+        """Answers of this term that renewed a lease and stopped something."""
+        self.first_renewals = 0
+        """Answers to heartbeats that may be older than this term."""
+
+    def observe_renewal(
+        self,
+        machine: Machine,
+        heartbeat: wire.Heartbeat,
+        commands: list[dict[str, Any]],
+        list_is_current: bool,
+        wall: Wall,
+        late_after_s: float,
+    ) -> None:
+        """Count an answer that renews a lease; log cancelled tasks that it should not find there.
+
+        Such a task is listed longer than `late_after_s` after its job was cancelled; it is logged
+        once a term.
+        """
+        self.first_renewals += not list_is_current
+        if not any(command["verb"] == wire.STOP for command in commands):
+            return
+        self.renewals_with_stops += 1
+        listed = {status.task for status in heartbeat.tasks if status.state != wire.EXITED}
+        for binding in machine.bindings.values():
+            job = binding.chunk.job
+            age_s = _cancelled_s_ago(job, wall)
+            key = (binding.task, machine.id)
+            if age_s <= late_after_s or str(binding.task) not in listed or key in self._logged:
+                continue
+            self._logged.add(key)
+            log.info(
+                "cancelled task still listed: task=%s attempt=%d machine=%s term=%d "
+                "cancelled_s_ago=%.1f list=%s lease=renewed with the stop",
+                binding.task,
+                binding.attempt,
+                machine.id,
+                self._term,
+                age_s,
+                "current" if list_is_current else "old",
+            )
+
+    def rows(self, wall: Wall) -> list[CancelledJob]:
+        """Return the cancelled jobs whose tasks are still bound, the longest cancelled first."""
+        jobs = [job for job in self._job_store.jobs.values() if job.cancelled and job.bound_count]
+        jobs.sort(key=lambda job: -_cancelled_s_ago(job, wall))
+        return [
+            CancelledJob(
+                job.id,
+                round(_cancelled_s_ago(job, wall), 1),
+                job.bound_count,
+                sorted({binding.machine for binding in job.bindings()})[:_ROWS_SHOWN],
+            )
+            for job in jobs[:_ROWS_SHOWN]
+        ]
+
+
+def _cancelled_s_ago(job: Job, wall: Wall) -> float:
+    """Return 0 for a job that is not cancelled."""
+    return wall - job.cancelled_at if job.cancelled and job.cancelled_at is not None else 0.0
--- a/tealrill/fleet/heartbeats.py
+++ b/tealrill/fleet/heartbeats.py
@@ -65,10 +65,10 @@
         if self._out_of_date(machine, heartbeat):
             if not self._is_in_flight(machine, heartbeat):
                 return None
-            return self._renew(machine, heartbeat, now, list_is_current=False)
+            return self._renew(machine, heartbeat, now, wall, list_is_current=False)
         self._detect_inbound_partition(machine, heartbeat, now)
         list_is_current = self._process(machine, heartbeat, now, wall, direct=False)
-        return self._renew(machine, heartbeat, now, list_is_current)
+        return self._renew(machine, heartbeat, now, wall, list_is_current)
 
     def _check(self, heartbeat: wire.Heartbeat, machine_id: MachineId) -> bool:
         """Whether this term may answer the machine at all."""
@@ -91,7 +91,12 @@
         return machine.incarnation == heartbeat.incarnation and not machine.lease_expired
 
     def _renew(
-        self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic, list_is_current: bool
+        self,
+        machine: Machine,
+        heartbeat: wire.Heartbeat,
+        now: Monotonic,
+        wall: Wall,
+        list_is_current: bool,
     ) -> list[dict[str, Any]]:
         """Renew the worker's lease; return the commands that go with it.
 
@@ -100,13 +105,17 @@
         may each later one.
         """
         machine.answered_at = now
-        if not list_is_current:
-            return self._fleet.commands.stops_for_old_list(machine, heartbeat, now)
-        if machine.settled is not None:
+        if list_is_current and machine.settled is not None:
             return []
-        commands = self._fleet.commands.for_response(machine, heartbeat, now)
-        if not commands and self._as_it_should_be(machine, heartbeat):
+        if list_is_current:
+            commands = self._fleet.commands.for_response(machine, heartbeat, now)
+        else:
+            commands = self._fleet.commands.stops_for_old_list(machine, heartbeat, now)
+        if list_is_current and not commands and self._as_it_should_be(machine, heartbeat):
             machine.settled = heartbeat.tasks
+        self._fleet.cancelled_tasks.observe_renewal(
+            machine, heartbeat, commands, list_is_current, wall, self._fleet.stop_timeout_s
+        )
         return commands
 
     def handle_direct_reply(
--- a/tealrill/fleet/inventory.py
+++ b/tealrill/fleet/inventory.py
@@ -21,6 +21,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from tealrill.fleet.cancelled_tasks import CancelledTasks
 from tealrill.fleet.commands import Commands
 from tealrill.fleet.heartbeats import HeartbeatProcessor
 from tealrill.fleet.leases import Leases
@@ -64,6 +65,7 @@
         """A cancelled job's stop that did not arrive for so long is left to the worker's lease."""
         self.job_store = job_store
         self.leases = Leases(self, elected_at, lease_s, delegation_s)
+        self.cancelled_tasks = CancelledTasks(job_store, term)
         self.commands = Commands(self)
         self.reconciler = Reconciler(self)
         self.heartbeats = HeartbeatProcessor(self, term, heartbeat_interval_s)
--- a/tealrill/leader/job_lifecycle.py
+++ b/tealrill/leader/job_lifecycle.py
@@ -28,6 +28,8 @@
     at: float = 0.0
     owner: str | None = None
     """The record that the job belongs to; its extension reads the rest."""
+    ended_at: float | None = None
+    """When the job was cancelled; not in records of versions before it."""
 
 
 class JobLifecycle:
@@ -108,8 +110,11 @@
         for extension in self.extensions:
             extension.owner_gone(owner)
 
-    def on_cancelled(self, name: str) -> None:
-        """Stop a job whose record is gone, or whose cancellation another node acknowledged."""
+    def on_cancelled(self, name: str, source: str) -> None:
+        """Stop a job whose record is gone, or whose cancellation another node acknowledged.
+
+        `source` says in the log by what this leader learned of it.
+        """
         job_id = parse_job_id(name)
         if job_id is None:
             for extension in self.extensions:
@@ -125,8 +130,14 @@
             if job.outcome != OUTCOME_DONE:
                 self._scheduling_loop.placement.cancel(job, monotonic_now())
             return
-        log.info("job %s was cancelled; %d of its tasks are bound", job.id, job.bound_count)
+        log.info(
+            "job %s was cancelled; %d of its tasks are bound: source=%s",
+            job.id,
+            job.bound_count,
+            source,
+        )
         job.outcome = OUTCOME_CANCELLED
+        job.cancelled_at = wall_now()
         self.stop(job)
         self._forget(job)
 
--- a/tealrill/leader/job_watch.py
+++ b/tealrill/leader/job_watch.py
@@ -75,7 +75,8 @@
             if self._lifecycle.add(event.put, event.value, Revision(event.version)):
                 self._wake()
         elif event.delete is not None:
-            self._lifecycle.on_cancelled(event.delete.removeprefix(JOB_PREFIX))
+            source = f"watch at revision {event.version}"
+            self._lifecycle.on_cancelled(event.delete.removeprefix(JOB_PREFIX), source)
 
     async def _compare_jobs(self) -> Revision:
         """Apply what was written and removed, after a watch that began too late."""
@@ -86,6 +87,6 @@
             self._lifecycle.add(entry.key, entry.value, Revision(entry.version))
         for job in list(self._job_store.jobs.values()):
             if JOB_PREFIX + job.id not in keys:
-                self._lifecycle.on_cancelled(job.id)
+                self._lifecycle.on_cancelled(job.id, f"reading at revision {revision}")
         self._wake()
         return revision
--- a/tealrill/leader/record_loader.py
+++ b/tealrill/leader/record_loader.py
@@ -103,10 +103,13 @@
                 self._job_store.cancel(job)
                 self._scheduling_loop.placement.cancel(job, now)
         log.info(
-            "term %d: %d jobs and %d bindings read",
+            "term %d: %d jobs and %d bindings read: revision=%d took_s=%.2f cancelled_bound=%d",
             self._term,
             len(self._job_store.jobs),
             len(bindings),
+            revision,
+            now - began,
+            sum(binding.chunk.job.cancelled for binding in bindings),
         )
         return CancellationKnowledge(revision, began)
 
@@ -150,4 +153,6 @@
         await asyncio.gather(*(look_up() for _ in range(_LOOK_UPS)))
         for over in found:
             record = msgspec.convert(over.value, JobRecord)
-            self._job_store.add(record.spec, Wall(0.0), Revision(over.version)).cancelled = True
+            job = self._job_store.add(record.spec, Wall(0.0), Revision(over.version))
+            job.cancelled = True
+            job.cancelled_at = Wall(record.ended_at) if record.ended_at else wall_now()
--- a/tealrill/state/admission.py
+++ b/tealrill/state/admission.py
@@ -351,7 +351,11 @@
                 return await self._cancel_implicit(job_id)
             return Reply(200, wire.accepted(job_id, over.value["status"]))
         # The description stays: a new leader needs it until the job's tasks are gone.
-        record = {"status": wire.JOB_CANCELLED, "spec": entry.value["spec"]}
+        record = {
+            "status": wire.JOB_CANCELLED,
+            "spec": entry.value["spec"],
+            "ended_at": round(wall_now(), 1),
+        }
         guards = [
             wire.guard(job_key(job_id), entry.version),
             wire.guard(over_key(job_id), ABSENT),
@@ -365,7 +369,7 @@
             return _unavailable("not cancelled yet")
         if isinstance(result, GuardsFailed):
             return None
-        log.info("job %s cancelled", job_id)
+        log.info("job %s cancelled: revision=%d", job_id, result.revision)
         self.acknowledge(job_id, result.revision)
         return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
 
@@ -380,7 +384,7 @@
         revision = await self.implicit_jobs.cancel(job_id)
         if revision is None:
             return None
-        log.info("job %s cancelled before it was released", job_id)
+        log.info("job %s cancelled before it was released: revision=%d", job_id, revision)
         self.acknowledge(job_id, revision)
         return Reply(200, wire.accepted(job_id, wire.JOB_CANCELLED))
 
--- a/tealrill/state/bindings.py
+++ b/tealrill/state/bindings.py
@@ -129,6 +129,8 @@
     chunks: dict[int, Chunk] = field(default_factory=dict)
     zone_counts: dict[str, int] = field(default_factory=dict)
     cancelled: bool = False
+    cancelled_at: Wall | None = None
+    """When its cancellation was recorded, or learned of where the record does not say."""
     due_s: float | None = None
     """Its deadline, from its submission."""
     owner: Owner | None = None
--- a/tealrill/status.py
+++ b/tealrill/status.py
@@ -8,7 +8,7 @@
 from tealrill.leader.leader import Leader
 from tealrill.leadership.election import Election, is_held_by_lease
 from tealrill.leadership.renewal_delegation import RenewalDelegate
-from tealrill.types import monotonic_now
+from tealrill.types import monotonic_now, wall_now
 
 
 @dataclass(slots=True)
@@ -53,6 +53,10 @@
         shown["jobs"] = len(leader.job_store.jobs)
         shown["head"] = plan.reserved_job
         shown["duties"] = leader.duties()
+        cancelled = leader.fleet.cancelled_tasks
+        shown["first_renewals"] = cancelled.first_renewals
+        shown["renewals_with_stops"] = cancelled.renewals_with_stops
+        shown["cancelled_bound"] = [asdict(row) for row in cancelled.rows(wall_now())]
         shown["waiting"] = {job.id: left for job, left in plan.unplaced}
         for extension in leader.parts:
             shown.update(extension.describe())
--- a/tests/test_golden_records.py
+++ b/tests/test_golden_records.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any, Final, NamedTuple, cast
+from unittest import mock
 
 import msgspec
 import orjson
@@ -41,7 +42,7 @@
 from tealrill.leadership.exclusion import ExclusionRecord
 from tealrill.leadership.lease_extension import ExtensionAnswer, ExtensionRequest, Presence
 from tealrill.scheduler.capacity import Rental
-from tealrill.state import fencing
+from tealrill.state import admission, fencing
 from tealrill.state import records as state_records
 from tealrill.state.acknowledged_cancellations import AcknowledgedCancellations
 from tealrill.state.admission import Admission
@@ -215,8 +216,13 @@
     final = Admission._final(
         cast(Any, None), JobId("wk-000412"), wire.KeyValue(value=value, version=3)
     )
-    spec = msgspec.convert(value, job_lifecycle.JobRecord).spec if "spec" in value else None
-    return SimpleNamespace(told=final.body, outcome=records.outcome_of(value), spec=spec)
+    record = msgspec.convert(value, job_lifecycle.JobRecord) if "spec" in value else None
+    return SimpleNamespace(
+        told=final.body,
+        outcome=records.outcome_of(value),
+        spec=record.spec if record is not None else None,
+        ended_at=record.ended_at if record is not None else None,
+    )
 
 
 def write_end(read: Any) -> Any:
@@ -235,7 +241,8 @@
     """`over/ID` as the node that cancels the job writes it."""
     job = JobId(read.spec.id)
     client = _Client({state_records.job_key(job): {"spec": wire.plain(read.spec), "at": 0.0}})
-    asyncio.run(_admission(client).cancel(job))
+    with mock.patch.object(admission, "wall_now", lambda: Wall(read.ended_at or 0.0)):
+        asyncio.run(_admission(client).cancel(job))
     return client.put(state_records.over_key(job))
 
 
@@ -506,6 +513,7 @@
     "outcome": lambda r: r.outcome,
     "spec": lambda r: None if r.spec is None else r.spec.id,
 }
+_OVER_CANCELLED: Final[Fields] = {**_OVER, "ended_at": lambda r: r.ended_at}
 _CHUNK: Final[Fields] = {
     "done": lambda r: list(r[1].done),
     "bound": lambda r: [
@@ -625,7 +633,7 @@
     "node": _record(read_node_job, _NODE, write_released_node, GraphRecordError),
     "run": _record(read_chunk, _CHUNK, write_chunk, RecordError),
     "over": _record(read_over, _OVER, write_end, KeyError),
-    "over cancelled": _record(read_over, _OVER, write_cancellation, KeyError),
+    "over cancelled": _record(read_over, _OVER_CANCELLED, write_cancellation, KeyError),
     "over buried": _record(read_over, _OVER, write_burial, KeyError),
     "over gated": _record(read_over, _OVER, write_gated_cancellation, KeyError),
     "word": _record(lambda value: value, {"cancelled": lambda r: r["cancelled"]}, write_word,
--- a/tests/test_leader_churn.py
+++ b/tests/test_leader_churn.py
@@ -18,11 +18,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, Final
 
 import pytest
 
 from tealrill import wire
+from tealrill.fleet.cancelled_tasks import CancelledJob
 from tealrill.fleet.commands import Commands
 from tealrill.fleet.inventory import Fleet
 from tealrill.simulation.cluster import SimulatedCluster
@@ -152,3 +154,34 @@
     assert Term(bound=False, cancelled=False).answer(sequence=5, token=TERM - 1) == []
     # The term's own list counts: this attempt has no record any more.
     assert Term(bound=False, cancelled=False).answer(sequence=5, token=TERM) == [STOP]
+
+
+# -- what is shown of it ---------------------------------------------------------------------------
+
+
+def test_a_task_that_outlives_its_cancellation_is_logged_once_a_term(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    term = Term()
+    term.job.cancelled_at = Wall(-20.0)
+    term.fleet.stop_timeout_s = 10.0
+    with caplog.at_level(logging.INFO, "tealrill.fleet.cancelled_tasks"):
+        term.answer(sequence=5, token=TERM - 1)
+        term.answer(sequence=6, token=TERM)
+    (line,) = [record.getMessage() for record in caplog.records]
+    assert line == (
+        f"cancelled task still listed: task={TASK} attempt=1 machine={MACHINE} term={TERM} "
+        "cancelled_s_ago=20.0 list=old lease=renewed with the stop"
+    )
+    shown = term.fleet.cancelled_tasks
+    assert (shown.first_renewals, shown.renewals_with_stops) == (1, 2)
+    assert shown.rows(Wall(5.0)) == [CancelledJob("wk-000412", 25.0, 1, [MACHINE])]
+
+
+def test_a_cancellation_that_is_fresh_is_not_logged(caplog: pytest.LogCaptureFixture) -> None:
+    term = Term()
+    term.job.cancelled_at = Wall(-9.0)
+    term.fleet.stop_timeout_s = 10.0
+    with caplog.at_level(logging.INFO, "tealrill.fleet.cancelled_tasks"):
+        term.answer(sequence=5, token=TERM - 1)
+    assert not caplog.records
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -200,7 +200,7 @@
             job = self.leader.job_store.jobs.get(JobId(name))
             if job is not None and not job.cancelled:
                 self.stopped_knowing += 1
-            self.leader.lifecycle.on_cancelled(name)
+            self.leader.lifecycle.on_cancelled(name, "test")
 
     def on_cancellations_known(self, at: Monotonic) -> None:
         assert self.leader is not None
@@ -437,7 +437,7 @@
 def test_a_start_of_a_cancelled_job_that_is_out_ends_with_the_workers_lease() -> None:
     # It may arrive after any time and then run: only a new session takes it back.
     leader, fleet, job, _ = _bound()
-    leader.lifecycle.on_cancelled("wk-000412")
+    leader.lifecycle.on_cancelled("wk-000412", "test")
     since = next(iter(job.bindings())).stop
     assert since is not None
     patience_s = fleet.stop_timeout_s
@@ -454,7 +454,7 @@
     leader, fleet, job, binding = _bound()
     fleet.commands.direct_executed([binding])
     leader.job_store.give_up(job, OUTCOME_FAILED)
-    leader.lifecycle.on_cancelled("wk-000412")
+    leader.lifecycle.on_cancelled("wk-000412", "test")
     assert binding.stop is not None and binding.stop.reason == "cancelled"
     assert job.outcome == OUTCOME_FAILED and job.id in leader.job_store.ending
 
@@ -558,7 +558,7 @@
     """Counted from the confirmation: the wait, the delegation's end, the worker's lease."""
     leader, fleet, _, binding = _bound(cancel_s=24.0)
     fleet.commands.direct_executed([binding])
-    leader.lifecycle.on_cancelled("wk-000412")
+    leader.lifecycle.on_cancelled("wk-000412", "test")
     stop = binding.stop
     assert stop is not None
     machine = fleet.machines[_MACHINE]
