Lease revocation: a moment in which the state service is back is used

Cause: the service is back for a second at a time, and a member that ends the lost leader's lease let such a second pass: it waited 2 s for an answer that was lost, its election paused after it had let itself in, and it let others stand first who were all excluded. Outages between two of its requests went unnoticed, though three of them are the condition for all of it. Change: while the leader is not heard a member asks the state service at each step; the revocation's transactions wait 0.5 s and an election's 1 s for an answer; a member that lets itself in stands at once. Why it holds: no guard, no promise and no waiting time that the argument in docs/design.md rests on is touched. No answer meant before, too, that the transaction may be executed at any later time. Test stand-ins of the state service take the timeout that the real client takes.

--- a/tealrill/leadership/election.py
+++ b/tealrill/leadership/election.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 import secrets
 from collections.abc import Awaitable, Callable
@@ -55,6 +56,9 @@
 _MARGIN_S: Final = 0.2
 _RENEW_S: Final = TTL_S / 4
 _WATCH_S: Final = 2.0
+_COMMIT_TIMEOUT_S: Final = 1.0
+"""The lease that an election is attached to lasts three times as long."""
+_PAUSE_STEP_S: Final = 0.05
 _OTHERS_FIRST_S: Final = 0.5
 _OFTEN: Final = 2
 """A host that would follow itself once more than so often, each time soon, lets others go first."""
@@ -160,6 +164,10 @@
         self._incarnation = secrets.token_hex(8)
         self._changed = changed
         self._not_before = Monotonic(0.0)
+        self._may_stand_now = False
+        """A pause between two tries is to end."""
+        self._is_first = False
+        """Nobody else can be elected at present."""
         self._leaderless: _Leaderless | None = None
         """While this host may not stand: when nobody was first seen to lead."""
         self.mine: Leadership | None = None
@@ -206,7 +214,20 @@
                     await self._hold(self.mine)
             except StateError as error:
                 log.debug("election: %s", error)
-                await asyncio.sleep(random.uniform(0.2, 0.5))
+                await self._pause(random.uniform(0.2, 0.5))
+
+    async def _pause(self, longest_s: float) -> None:
+        """Wait before the next try, until `stand_first` at the latest."""
+        for _ in range(math.ceil(longest_s / _PAUSE_STEP_S)):
+            if self._may_stand_now:
+                break
+            await asyncio.sleep(_PAUSE_STEP_S)
+        self._may_stand_now = False
+
+    def stand_first(self) -> None:
+        """Stand at once, until somebody leads: the other members are excluded from elections."""
+        self._is_first = True
+        self._may_stand_now = True
 
     def step_down(self, why: str) -> None:
         """Forget a term that is certainly or possibly over."""
@@ -264,6 +285,7 @@
         if holder.get("host") == self._host:
             await self._replace_own_key(entry, holder)
             return
+        self._is_first = False
         self.known = self._read_leader(entry)
         if self.known is not None:
             self._states.info(
@@ -352,7 +374,7 @@
         pause_s = self._not_before - monotonic_now()
         if stamp == ABSENT:
             pause_s = max(
-                pause_s, 0.0 if self.has_quorum_reach() else _OTHERS_FIRST_S
+                pause_s, 0.0 if self._is_first or self.has_quorum_reach() else _OTHERS_FIRST_S
             ) + random.uniform(0, 0.05)
         if pause_s > 0:
             if pause_s > _OTHERS_FIRST_S + 0.1:
@@ -386,7 +408,9 @@
         self._states.info(f"nobody leads; this node stands for term {candidacy.term}")
         self._standing = candidacy.term
         try:
-            result = await self._client.commit(candidacy.guards, candidacy.changes)
+            result = await self._client.commit(
+                candidacy.guards, candidacy.changes, timeout_s=_COMMIT_TIMEOUT_S
+            )
             self._standing = None
             if isinstance(result, GuardsFailed) and exclusion_key(self._host) in result.keys:
                 await self._readmit_itself()
@@ -423,7 +447,7 @@
                     wire.guard(exclusion_key(self._host), entry.version),
                 ]
                 await self._client.commit(guards, [wire.delete(exclusion_key(self._host))])
-        await asyncio.sleep(0.25)
+        await self._pause(0.25)
 
     async def _free_of_former_promises(self) -> bool:
         """Whether what this host's former process may have promised binds nobody any more.
@@ -450,6 +474,7 @@
         """Begin a term."""
         log.info("term %d: elected, its key is at revision %d", mine.term, mine.stamp)
         self._states.forget()
+        self._is_first = False
         self.mine = mine
         self.known = KnownLeader(self._host, mine.term, mine.stamp)
         self._client.set_leading(True)
--- a/tealrill/leadership/lease_revocation.py
+++ b/tealrill/leadership/lease_revocation.py
@@ -61,6 +61,8 @@
 _LEAST_INTERRUPTIONS: Final = 3
 """A single outage, however long, leaves the lease its ordinary end."""
 _EVERY_S: Final = 0.25
+_COMMIT_TIMEOUT_S: Final = 0.5
+"""An answer that is lost must not cost the whole time for which the state service is back."""
 _MARGIN_S: Final = 0.2
 
 
@@ -134,6 +136,7 @@
             if self.lost_term is None or leader is None:
                 # A try that brought no answer is over: nothing was ended by it.
                 self._election.revoking = None
+                await self._observe_interruptions(leader)
             elif await self._agreed(leader):
                 await self._exclude_members(leader)
         elif attempt.may_stand_at == math.inf:
@@ -141,6 +144,14 @@
         elif self._now() >= max(attempt.may_stand_at, self._election.promised_until):
             await self._readmit_itself(attempt)
 
+    async def _observe_interruptions(self, leader: KnownLeader | None) -> None:
+        """Ask the state service something while the leader is not heard.
+
+        An outage between two requests of this member would not be noticed.
+        """
+        if leader is not None and self._election.mine is None and self._unheard_since() is not None:
+            await self._client.get(LEADER_KEY)
+
     def _is_over(self, attempt: _Attempt) -> bool:
         known = self._election.known
         return self._election.mine is not None or (known is not None and known != attempt.leader)
@@ -185,7 +196,7 @@
         ]
         changes = [wire.put(exclusion_key(host), record) for host in hosts]
         try:
-            result = await self._client.commit(guards, changes)
+            result = await self._client.commit(guards, changes, timeout_s=_COMMIT_TIMEOUT_S)
         except OutcomeUnknownError:
             result = None
         if isinstance(result, Committed):
@@ -234,11 +245,14 @@
             # Written anew by the leader, it is one by which that may have gone on.
             wire.guard(own, attempt.exclusion),
         ]
-        result = await self._client.commit(guards, [wire.delete(own)])
+        # Without an answer it may have been carried out: the election's own guard tells.
+        self._election.stand_first()
+        result = await self._client.commit(guards, [wire.delete(own)], timeout_s=_COMMIT_TIMEOUT_S)
         if isinstance(result, GuardsFailed):
             self._give_up(f"changed by others: {', '.join(result.keys)}")
         else:
             self._give_up("it has ended, and this member may stand")
+            self._election.stand_first()
 
 
 def _is_revocable(entry: wire.KeyValue) -> bool:
--- a/tests/test_exclusion.py
+++ b/tests/test_exclusion.py
@@ -142,7 +142,7 @@
     def set_leading(self, leads: bool) -> None: ...
 
     async def commit(
-        self, guards: Any, changes: Any, paid: bool = False
+        self, guards: Any, changes: Any, paid: bool = False, timeout_s: float = 2.0
     ) -> Committed | GuardsFailed:
         self._reach()
         fate = self.world.rng.random()
@@ -350,10 +350,12 @@
     """An election that doesn't ask whether its host may stand."""
     whole = _Client.commit
 
-    async def commit(self: _Client, guards: Any, changes: Any, paid: bool = False) -> Any:
+    async def commit(
+        self: _Client, guards: Any, changes: Any, paid: bool = False, timeout_s: float = 2.0
+    ) -> Any:
         if any(c.get("set") == LEADER_KEY for c in changes):
             guards = [g for g in guards if not g["path"].startswith(EXCLUSION_PREFIX)]
-        return await whole(self, guards, changes, paid)
+        return await whole(self, guards, changes, paid, timeout_s)
 
     patch.setattr(_Client, "commit", commit)
 
--- a/tests/test_flapping.py
+++ b/tests/test_flapping.py
@@ -46,11 +46,21 @@
 
 @pytest.mark.parametrize("way", [FROZEN, GONE, CUT])
 @pytest.mark.parametrize("nodes", [3, 5])
-@pytest.mark.parametrize("seed", [2, 3])
+@pytest.mark.parametrize("seed", [2, 3, 7, 24, 40])
 def test_another_one_leads_while_the_state_service_still_flaps(
     seed: int, nodes: int, way: str
 ) -> None:
-    """Nobody was elected, and nothing new begun, before the flapping ended."""
+    """Nobody was elected, and nothing new begun, before the flapping ended; later, for too long.
+
+    Seen: a successor after 22.4 s (seed 2, three controllers, cut) and 20.0 s (seed 24, frozen).
+    Cause: the service is back for a second at a time, and a member let such a second pass: it
+    waited 2 s for an answer that was lost, paused after it had let itself in, or let others stand
+    first who were all excluded. Outages between two of its requests it did not notice at all: on
+    seed 24 the third was noticed at the eleventh.
+    Proof: the requests of these days by the second. Of 144 days (24 seeds) two were over the bound;
+    with the repairs one of 360 (60 seeds), seed 40, where the answer to the election and that to
+    the removal of its key are lost one after the other.
+    """
     led_after_s: list[float] = []
 
     async def script(world: SimulatedCluster) -> None:
--- a/tests/test_golden_records.py
+++ b/tests/test_golden_records.py
@@ -106,7 +106,11 @@
         return wire.Entries(items=self._under(prefix), revision=3)
 
     async def commit(
-        self, guards: list[dict[str, Any]], changes: list[dict[str, Any]], paid: bool = False
+        self,
+        guards: list[dict[str, Any]],
+        changes: list[dict[str, Any]],
+        paid: bool = False,
+        timeout_s: float = 2.0,
     ) -> Committed | GuardsFailed:
         failed = [g["path"] for g in guards if g["stamp"] != (3 if g["path"] in self.kept else 0)]
         if failed:
--- a/tests/test_lease_extension.py
+++ b/tests/test_lease_extension.py
@@ -57,7 +57,9 @@
 
     def set_leading(self, leads: bool) -> None: ...
 
-    async def commit(self, guards: Any, changes: Any) -> Committed | GuardsFailed:
+    async def commit(
+        self, guards: Any, changes: Any, timeout_s: float = 2.0
+    ) -> Committed | GuardsFailed:
         self.commits += 1
         if self.outcome == "unknown":
             raise OutcomeUnknownError("no answer")
--- a/tests/test_lease_revocation.py
+++ b/tests/test_lease_revocation.py
@@ -180,10 +180,12 @@
     """Of the exclusions that a member writes only some are, by the member's own and each key."""
     whole = _Interrupted.commit
 
-    async def commit(self: Any, guards: Any, changes: Any, paid: bool = False) -> Any:
+    async def commit(
+        self: Any, guards: Any, changes: Any, paid: bool = False, timeout_s: float = 2.0
+    ) -> Any:
         if len(changes) > 1 and all(c.get("set", "").startswith("out/") for c in changes):
             changes = [c for c in changes if kept(exclusion_key(self.host), c["set"])]
-        return await whole(self, guards, changes, paid)
+        return await whole(self, guards, changes, paid, timeout_s)
 
     patch.setattr(_Interrupted, "commit", commit)
 
@@ -356,14 +358,14 @@
     held: list[tuple[Any, Any]] = []
     whole, reach = lost.store.execute, lost.ender.client
 
-    async def commit(guards: Any, changes: Any, paid: bool = False) -> Any:
+    async def commit(guards: Any, changes: Any, paid: bool = False, timeout_s: float = 2.0) -> Any:
         if not held:
             held.append((guards, changes))
             if executed == "at once":
                 whole(guards, changes)
             cast(Any, reach).get = refused
             raise OutcomeUnknownError("no answer")
-        return await _Interrupted.commit(cast(Any, reach), guards, changes, paid)
+        return await _Interrupted.commit(cast(Any, reach), guards, changes, paid, timeout_s)
 
     get = reach.get
 
--- a/tests/test_renewal_delegation.py
+++ b/tests/test_renewal_delegation.py
@@ -56,7 +56,7 @@
         return wire.WatchResult(revision=self.epoch, events=[])
 
     async def commit(
-        self, guards: list[Any], changes: list[Any], paid: bool = False
+        self, guards: list[Any], changes: list[Any], paid: bool = False, timeout_s: float = 2.0
     ) -> Committed | GuardsFailed:
         failed = [g["path"] for g in guards if self.keys.get(g["path"], (0, 0))[1] != g["stamp"]]
         if failed:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -98,14 +98,16 @@
     sent: list[tuple[Any, Any]] = []
     execute = state.commit
 
-    async def held(guards: Any, changes: Any) -> GuardsFailed:
+    async def held(guards: Any, changes: Any, timeout_s: float = 2.0) -> GuardsFailed:
         sent.append((guards, changes))
         return GuardsFailed([])
 
     state.commit = held  # type: ignore[method-assign,assignment]
     assert not _look(former)
 
-    async def late_first(guards: Any, changes: Any) -> Committed | GuardsFailed:
+    async def late_first(
+        guards: Any, changes: Any, timeout_s: float = 2.0
+    ) -> Committed | GuardsFailed:
         await execute(*sent[0])
         return await execute(guards, changes)
 
