Take-over: a cancellation told while the records are read does not drop the job's bindings

Callers would see: a cancelled job's task that the new leader neither counts for its team's limit nor keeps in its records, from the take-over to the worker's second heartbeat. No rule was seen broken by it. Cause: an action on knowledge that was not whole yet. A member's word, with a lease extension, could reach a leader between its reading of the jobs and that of the bindings. The job had none then and was dropped, its chunks were taken for obsolete and their records removed. Change: until all records are read a cancelled job is only marked; the end of the reading stops it. Why it holds: the reading ends with a look at all jobs that are marked, in the same step that makes the bindings known, and no worker is answered before.

--- a/tealrill/leader/job_lifecycle.py
+++ b/tealrill/leader/job_lifecycle.py
@@ -79,11 +79,16 @@
             # Its extension is switched off, or can't read it: kept as it is, nothing of it starts.
             log.error("job held, its owner is unknown to this member: job=%s", job.id)
             self._job_store.close_tasks(job)
-        if job.cancelled and self._fleet.loaded:
+        if job.cancelled:
             self.stop(job)
 
     def stop(self, job: Job) -> None:
         """Start nothing more of a job, and stop what runs of it."""
+        if not self._fleet.loaded:
+            # Its bindings may not be read yet, and without any it would be dropped with their
+            # records. Once all is read, what is cancelled is stopped.
+            job.cancelled = True
+            return
         self._job_store.cancel(job)
         self._scheduling_loop.placement.cancel(job, monotonic_now())
         self._wake()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -54,8 +55,27 @@
 from tealrill.state.fencing import Leadership
 from tealrill.state.job_store import JobStore
 from tealrill.state.rate_limiter import RateLimiter, RequestPriority
-from tealrill.state.records import OUTCOME_FAILED, RUN_PREFIX, over_key
-from tealrill.types import FencingToken, JobId, LeaseId, MachineId, Monotonic, Revision, Wall
+from tealrill.state.records import (
+    JOB_PREFIX,
+    OUTCOME_FAILED,
+    RUN_PREFIX,
+    BoundEntry,
+    chunk_key,
+    encode_chunk,
+    job_key,
+    over_key,
+)
+from tealrill.types import (
+    Attempt,
+    FencingToken,
+    Incarnation,
+    JobId,
+    LeaseId,
+    MachineId,
+    Monotonic,
+    Revision,
+    Wall,
+)
 from tests.samples import SETTINGS, report, spec
 from tests.test_bindings import Worker
 
@@ -449,6 +469,45 @@
     assert not list(job.bindings())
 
 
+class _TakeOver:
+    """The state service while a new leader reads: one task is bound, other jobs have ended."""
+
+    def __init__(self, during: Callable[[], None]) -> None:
+        self._during = during
+        """What happens meanwhile."""
+
+    async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
+        bound = BoundEntry(_MACHINE, Incarnation(1), Attempt(1), False, False, Wall(0.0))
+        chunk = encode_chunk(1, [bound.encode(Attempt(2))], {})
+        jobs = [(job_key(JobId("wk-000412")), {"spec": wire.plain(spec(pieces=1)), "at": 0.0})]
+        chunks = [(chunk_key(JobId(name), 0), chunk) for name in ("wk-000412", "wk-000001")]
+        found = {JOB_PREFIX: jobs, RUN_PREFIX: chunks}.get(prefix, [])
+        return [wire.Entry(key=key, value=value, version=3) for key, value in found], Revision(5)
+
+    async def get(self, key: str) -> wire.KeyValue | None:
+        self._during()
+        return wire.KeyValue(value={"status": wire.JOB_DONE, "tasks": 1}, version=4)
+
+
+def test_a_task_stays_known_whose_cancellation_is_told_while_the_records_are_read() -> None:
+    """Seen in the code, after the incident of `tests/test_leader_churn.py`; no rule broke by it.
+
+    A member's word reached a new leader between its reading of the jobs and that of the bindings.
+    Without any the cancelled job was dropped, its binding taken for obsolete and its record
+    removed: nobody stopped the task for being bound any more, and it did not count for its team.
+    Cause: an action on knowledge that was not whole yet. Proof: this test.
+    """
+    leader = _leader(_settings(), 1, Monotonic(100.0))
+    leader.record_loader._client = cast(
+        Any, _TakeOver(lambda: leader.lifecycle.on_cancelled("wk-000412", "test"))
+    )
+    asyncio.run(leader.record_loader.load())
+    job = leader.job_store.jobs[JobId("wk-000412")]
+    (binding,) = job.bindings()
+    assert job.cancelled and binding.stop is not None
+    assert list(leader.job_store.garbage) == [chunk_key(JobId("wk-000001"), 0)]
+
+
 def test_a_job_that_fails_is_stopped_when_its_user_cancels_it_in_an_outage() -> None:
     # Its end can't be written before the outage is over; its other task ran on until then.
     leader, fleet, job, binding = _bound()
