--- a/tealrill/fleet/provisioning.py
+++ b/tealrill/fleet/provisioning.py
@@ -1,4 +1,4 @@
-"""Renting and returning: requests under way, refusals, and what the machine list says.
+"""Renting and returning machines: requests under way, refusals, and the catalogue.
 
 The wanted state is a number of machines of each kind and a set of machines to return; the loops in
 here work off the difference. A request without an answer is repeated under its name until it gets
@@ -12,6 +12,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any, Final
@@ -22,6 +23,7 @@
 from tealrill.fleet.intent_log import IntentLog
 from tealrill.fleet.inventory import Fleet
 from tealrill.fleet.machine import Machine
+from tealrill.fleet.machine_list import MachineListReconciler
 from tealrill.scheduler.boot_times import BootTimeEstimator
 from tealrill.scheduler.capacity import Kind, Offer, Rental
 from tealrill.state.fencing import Duty, NotHolderError
@@ -65,7 +67,6 @@
         self.intent_log = intent_log
         self.renting = renting
         self.returning = returning
-        self._lag_s = list_lag_s
         self._names = 0
         self.requests: dict[str, Request] = {}
         self.capacity_backoff = CapacityBackoff()
@@ -79,6 +80,14 @@
         self.partitioned_zones: Callable[[], frozenset[str]] = frozenset
         """Zones of which nothing is heard."""
         self.changed: Callable[[], None] = lambda: None
+        self.machine_list = MachineListReconciler(
+            fleet,
+            list_lag_s,
+            self._boot_timeout_s,
+            self._unheard_zones,
+            self._machine_found,
+            self._freed,
+        )
         self.granted: Callable[[Rental], None] = lambda _: None
         """So many machines of a kind were rented."""
 
@@ -120,6 +129,13 @@
         """Return the machine type of that name, None if the catalogue lost it."""
         return self._types.get(name)
 
+    def _boot_timeout_s(self, machine: Machine, now: Monotonic) -> float:
+        """Return how long the machine may take to come up; no limit for an unknown type."""
+        kind = self.type_of(machine.type)
+        if kind is None:
+            return math.inf
+        return self.boots.boot_timeout_s((machine.type, machine.zone), kind.boot_s, now)
+
     def under_way(self) -> list[Rental]:
         """Rentals asked for and not yet answered."""
         return [request.rental for request in self.requests.values()]
@@ -201,13 +217,13 @@
                 break
             except NotHolderError as error:
                 # The record stands: this term goes on, or the next leader asks for it.
-                log.debug("rental %s: %s", request.name, error)
+                log.debug("rental not answered: name=%s error=%s", request.name, error)
                 await asyncio.sleep(_RETRY_S)
             except NoCapacityError:
                 names = []
                 break
             except CloudError as error:
-                log.debug("rental %s: %s", request.name, error)
+                log.debug("rental not answered: name=%s error=%s", request.name, error)
                 await asyncio.sleep(_RETRY_S)
         del self.requests[request.name]
         now = monotonic_now()
@@ -344,10 +360,10 @@
             try:
                 await self._cloud.release(names, self.returning.check)
             except (CloudError, NotHolderError) as error:
-                log.debug("release of %s: %s", names, error)
+                log.debug("release not answered: machines=%s error=%s", names, error)
                 await asyncio.sleep(_RETRY_S)
                 continue
-            log.info("released %s", ", ".join(names))
+            log.info("machines released: machines=%s", ",".join(names))
             self.returning.did(f"{len(names)} machines")
             for key in keys:
                 self.intent_log.terminated(key)
@@ -386,6 +402,28 @@
         else:
             self.capacity_backoff.hopeful(machine.kind)
 
+    def _unheard_zones(self) -> frozenset[str]:
+        return self.partitioned_zones()
+
+    def _machine_found(self) -> None:
+        self.changed()
+
+    def apply_list(self, listed: list[wire.ListedMachine], now: Monotonic) -> None:
+        """Apply the cloud's list to the machines and to the records of rentals."""
+        self.machine_list.apply(listed, now)
+        self._drop_seen_rentals()
+
+    def _drop_seen_rentals(self) -> None:
+        """Remove the records of rentals whose machines are all known by themselves."""
+        for name, record in list(self.intent_log.rents.items()):
+            if record.names is not None and not any(map(self._unseen, record.names)):
+                self.intent_log.rent_over(name)
+
+    def _unseen(self, name: str) -> bool:
+        machine_id = parse_machine_id(name)
+        machine = self._fleet.machines.get(machine_id) if machine_id is not None else None
+        return machine is not None and machine.listed_at is None and machine.last_contact_at is None
+
     # -- the list and the catalogue -------------------------------------------------------------
 
     async def run_lists(self) -> None:
@@ -395,7 +433,7 @@
             try:
                 # What the node knew before its term will do for placing; machines come first then.
                 if self.catalogue is not None:
-                    self._take_list(await self._cloud.machines(), monotonic_now())
+                    self.apply_list(await self._cloud.machines(), monotonic_now())
                 if fetched is None or monotonic_now() - fetched > _CATALOGUE_EVERY_S:
                     known = self.catalogue is not None
                     self.take_catalogue(await self._cloud.catalogue())
@@ -404,97 +442,11 @@
                     if not known:
                         continue
             except CloudError as error:
-                log.debug("cloud: %s", error)
+                log.debug("cloud not read: error=%s", error)
                 await asyncio.sleep(_RETRY_S)
                 continue
             await asyncio.sleep(_LIST_EVERY_S)
 
-    def _take_list(self, listed: list[wire.ListedMachine], now: Monotonic) -> None:
-        present: set[MachineId] = set()
-        for line in listed:
-            machine_id = parse_machine_id(line.id)
-            if machine_id is None:
-                continue
-            present.add(machine_id)
-            if machine_id in self._fleet.terminated:
-                self._relisted(machine_id, now)
-            else:
-                self._take_line(machine_id, line, now)
-        for machine in list(self._fleet.machines.values()):
-            if machine.id not in present:
-                machine.missing_from_lists += machine.listed_at is not None
-                self._not_listed(machine, now)
-        self._fleet.forget_gone(now)
-        self._seen()
-
-    def _seen(self) -> None:
-        """Rentals whose machines are all known by themselves need no record any more."""
-        for name, record in list(self.intent_log.rents.items()):
-            if record.names is not None and not any(map(self._unseen, record.names)):
-                self.intent_log.rent_over(name)
-
-    def _unseen(self, name: str) -> bool:
-        machine_id = parse_machine_id(name)
-        machine = self._fleet.machines.get(machine_id) if machine_id is not None else None
-        return machine is not None and machine.listed_at is None and machine.last_contact_at is None
-
-    def _relisted(self, machine_id: MachineId, now: Monotonic) -> None:
-        """The list lags, so a released machine may stand on it for a while."""
-        if now - self._fleet.terminated[machine_id] > 4 * self._lag_s + 10:
-            log.info("machine %s is still listed long after its release", machine_id)
-            del self._fleet.terminated[machine_id]
-
-    def _take_line(self, machine_id: MachineId, line: wire.ListedMachine, now: Monotonic) -> None:
-        machine = self._fleet.machines.get(machine_id)
-        if machine is None:
-            # Rented by an earlier leader, or by a request that took effect late.
-            log.info("machine %s is listed, not known before", machine_id)
-            since = Monotonic(now - line.age_s)
-            machine = Machine(machine_id, line.type, line.zone, line.spot, since)
-            self._fleet.machines[machine_id] = machine
-            self.changed()
-        elif machine.listed_at is None:
-            machine.since = Monotonic(min(machine.since, now - line.age_s))
-        if not machine.type:
-            self._fleet.locate(machine, line.type, line.zone, line.spot)
-        machine.listed, machine.listed_at = line.state, now
-        machine.listed_addr = line.addr
-        machine.missing_from_lists = 0
-        if line.state == wire.MACHINE_FAILED and not machine.releasing:
-            # It stopped by itself; the release is the proof that its tasks are gone.
-            log.info("machine %s failed", machine_id)
-            machine.releasing = True
-        if line.state == wire.MACHINE_BOOTING and machine.last_contact_at is None:
-            self._still_starting(machine, now)
-
-    def _still_starting(self, machine: Machine, now: Monotonic) -> None:
-        """Some machines never come up, and are charged until they are returned.
-
-        Only what the list calls starting is one of them. A new leader has not heard machines that
-        are cut off from it, and once returned 256 good ones in the middle of a cut of their zone.
-        In a zone that is not heard nothing is late.
-        """
-        kind = self.type_of(machine.type)
-        if machine.releasing or machine.bindings or kind is None:
-            return
-        if machine.zone in self.partitioned_zones():
-            return
-        waited_s = now - machine.since
-        if waited_s > self.boots.boot_timeout_s((machine.type, machine.zone), kind.boot_s, now):
-            log.info("machine %s did not come up in %.0f s", machine.id, waited_s)
-            machine.releasing = True
-
-    def _not_listed(self, machine: Machine, now: Monotonic) -> None:
-        """Absence proves nothing about tasks: a machine is dropped only when nothing is bound."""
-        if machine.bindings or machine.releasing:
-            return
-        known_for = now - (machine.listed_at if machine.listed_at is not None else machine.since)
-        silent = machine.lease_expired or machine.last_contact_at is None
-        if silent and known_for > 3 * self._lag_s + 10:
-            log.info("machine %s is gone", machine.id)
-            self._freed(machine)
-            self._fleet.drop(machine)
-
 
 def _price_ratios(offers: list[Offer]) -> dict[tuple[str, bool], float]:
     """What a processor costs on each kind of machine, against the cheapest kind."""
--- a/tealrill/leadership/lease_revocation.py
+++ b/tealrill/leadership/lease_revocation.py
@@ -110,7 +110,7 @@
             try:
                 await self.turn()
             except StateError as error:
-                log.debug("the lost leader's lease: %s", error)
+                log.debug("lost leader's lease not ended yet: error=%s", error)
 
     @property
     def lost_term(self) -> FencingToken | None:
--- a/tealrill/profiling.py
+++ b/tealrill/profiling.py
@@ -57,7 +57,7 @@
     "records: gathering": "tealrill.state.write_batcher:WriteBatcher._gather",
     "records: applied": "tealrill.state.write_batcher:WriteBatcher._apply",
     "jobs watched": "tealrill.leader.job_watch:JobWatch.job_changed",
-    "the cloud's list": "tealrill.fleet.provisioning:Provisioner._take_list",
+    "the cloud's list": "tealrill.fleet.provisioning:Provisioner.apply_list",
 }
 """Causes of cost and the functions that bear them, as module:name."""
 
--- a/tests/test_boot_times.py
+++ b/tests/test_boot_times.py
@@ -80,12 +80,12 @@
     late = machines[6]
     late.listed = wire.MACHINE_BOOTING
     provisioner.partitioned_zones = lambda: frozenset({"north"})
-    provisioner._still_starting(late, Monotonic(70.0))
+    provisioner.machine_list._check_boot(late, Monotonic(70.0))
     assert not late.releasing
     provisioner.partitioned_zones = frozenset
-    provisioner._still_starting(late, Monotonic(59.0))
+    provisioner.machine_list._check_boot(late, Monotonic(59.0))
     assert not late.releasing
-    provisioner._still_starting(late, Monotonic(70.0))
+    provisioner.machine_list._check_boot(late, Monotonic(70.0))
     assert late.releasing
 
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -270,7 +270,7 @@
         for _ in range(60):
             await asyncio.sleep(2.0)
             last.act()
-            last.provisioner._take_list(self.cloud.listed(), Monotonic(self.now))
+            last.provisioner.apply_list(self.cloud.listed(), Monotonic(self.now))
         if self.broken:
             raise self.broken[0]
         alive = set(self.cloud.alive)
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -156,7 +156,7 @@
             ]
         )  # fmt: skip
         if int(self.now) % 3 == 0:
-            self.provisioner._take_list(
+            self.provisioner.apply_list(
                 self.lists[max(0, len(self.lists) - 3)], Monotonic(self.now)
             )
 
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -371,7 +371,7 @@
     provisioner, _, fleet = _provisioner([])
     line = wire.ListedMachine(id="m-1", type="lost", zone="north", spot=True, state="running")
     provisioner.take_catalogue(wire.decode(b'{"builds":[]}', wire.Catalogue))
-    provisioner._take_list([line, line], Monotonic(100.0))
+    provisioner.apply_list([line, line], Monotonic(100.0))
     assert set(fleet.machines) == {"m-1"} and not fleet.machines[MachineId("m-1")].releasing
 
 
