--- a/tools/variants.py
+++ b/tools/variants.py
@@ -6,7 +6,8 @@
     python3 -m tools.variants days SITE.toml DIR --theme refused --cancelled 0.4 --long-s 200
 
 `refused` has the state service refuse the leader alone and then everybody, with other troubles in
-between; `flapping` has it go away every second or two while the leader is lost and users cancel;
+between; `flapping` has it go away every second or two while the leader is lost and users cancel; `churn` has
+all controllers end every two or three seconds while users cancel;
 `meetings` has pairs of troubles that broke rules elsewhere, and `shown` those of real machines
 (users who call off, look closely and err; mute machines; answers alone that are lost; reports kept
 for the next leader). A variant keeps the wire file's name, so it belongs beside a copy of that
@@ -518,6 +519,31 @@
     return _after([down], [(0.0, _cancel_now(rng)), (1.0, _close_looks(rng))])
 
 
+_CHURN_S: Final = 60.0
+_CANCELLED_AT_ENDS: Final = (2, 5, 9)
+"""Jobs are cancelled right before these ends of all controllers, counted from 0."""
+
+
+def _leaders_change(rng: random.Random, site: Site) -> list[Fault]:
+    """All controllers end every few seconds while jobs are cancelled; mostly more beside it."""
+    every_s = rng.uniform(1.5, 3.0)
+    ends = [(every_s * n, _crash(rng, site, site.nodes)) for n in range(int(_CHURN_S / every_s))]
+    hangs: Fault = rng.choice([{}, {"hang_s": round(0.5 * site.lease_s, 2)}])
+    cancels: list[tuple[float, Fault]] = [
+        (every_s * n - 0.1, {"kind": "cancel_now", "count": 80, **hangs})
+        for n in _CANCELLED_AT_ENDS
+    ]
+    late: list[Fault] = [
+        {"kind": kind, "share": 0.3, "for_s": _CHURN_S}
+        for kind in ("late_commands", "late_reports")
+    ]
+    outages: list[tuple[float, Fault]] = [
+        (8.0 + 3.1 * n, {"kind": "state_outage", "for_s": 0.8}) for n in range(14)
+    ]
+    beside, flapping = rng.choice([([], []), (late, []), (late, outages)])
+    return _after(beside, [*ends, *cancels, *flapping])
+
+
 THEMES: Final[dict[str, tuple[Draw, ...]]] = {
     "restarts": (_volley, _loop, _in_outage, _in_cut, _in_fall, _rolled),
     "silent": (_silent,),
@@ -528,6 +554,7 @@
     "surges": (_surge, _in_fall),
     "refused": (_refused,),
     "flapping": (_flapping,),
+    "churn": (_leaders_change,),
     "meetings": (
         _refused, _cut_off, _ends_among_deaf, _late_and_ended, _late_copies, _held, _slow_outage,
         _volley, _rolled,
