--- a/tools/variants.py
+++ b/tools/variants.py
@@ -6,8 +6,8 @@
     python3 -m tools.variants days SITE.toml DIR --theme refused --cancelled 0.4 --long-s 200
 
 `refused` has the state service refuse the leader alone and then everybody, with other troubles in
-between; `flapping` has it go away every second or two while the leader is lost and users cancel; `churn` has
-all controllers end every two or three seconds while users cancel;
+between; `flapping` has it go away every second or two while the leader is lost and users cancel;
+`churn` has all controllers end every two or three seconds while users cancel;
 `meetings` has pairs of troubles that broke rules elsewhere, and `shown` those of real machines
 (users who call off, look closely and err; mute machines; answers alone that are lost; reports kept
 for the next leader). A variant keeps the wire file's name, so it belongs beside a copy of that
