Simulation: the worker saves, refuses other attempts of a task it has, and reports notices

Change: tasks are kept by attempt; `in_use`; a task with checkpoints saves when the stop gives it the time, is ended by a second stop without any, and resumes from its checkpoint; 0.3 of the jobs have checkpoints. A fault takes spot machines back after a notice of 2 to 20 s. Not played by the stand-in: `no_such` (all simulated jobs are submitted).

--- a/tealrill/simulation/cluster.py
+++ b/tealrill/simulation/cluster.py
@@ -54,6 +54,7 @@
         self.active_faults = ActiveFaults()
         self.descriptions: dict[str, Description] = {}
         self.results: set[str] = set()
+        self.checkpoints: dict[str, float] = {}
         self.jobs: dict[str, UserJob] = {}
         self.broken: list[str] = []
         self.rules: set[str] = set()
--- a/tealrill/simulation/faults.py
+++ b/tealrill/simulation/faults.py
@@ -56,6 +56,7 @@
             self.cancel_while_refused,
             self.flapping,
             self.change_leaders,
+            self.reclaim_machine,
         ]
         tasks: list[asyncio.Task[None]] = []
         while self.world.now() < until:
@@ -206,6 +207,18 @@
             self.world.note(f"{machine.id} dies")
             self.world.cloud.take(machine)
 
+    async def reclaim_machine(self) -> None:
+        """Take a spot machine back, after a notice that its worker reports."""
+        spot = [worker for worker in self.world.up() if worker.machine.spot]
+        if not spot:
+            return
+        worker, notice_s = self.rng.choice(spot), self.rng.choice([2.0, 6.0, 20.0])
+        worker.taken_at = self.world.now() + notice_s
+        worker.changed.set()
+        await asyncio.sleep(notice_s)
+        self.world.note(f"{worker.machine.id} is taken back after a notice of {notice_s:.0f} s")
+        self.world.cloud.take(worker.machine)
+
     async def cancel_running(self, hang_s: float | None = None) -> None:
         """Cancel jobs that run and pause their machines, for less or for more than a lease."""
         shape = self.world.shape
--- a/tealrill/simulation/invariants.py
+++ b/tealrill/simulation/invariants.py
@@ -101,7 +101,7 @@
         rooms: list[tuple[str, bool, float]] = []
         for worker in self.world.up():
             used = 0.0
-            for name, task in worker.tasks.items():
+            for (name, _), task in worker.tasks.items():
                 number = job_of(name)
                 if task.state != wire.EXITED:
                     placed.add(name)
--- a/tealrill/simulation/process.py
+++ b/tealrill/simulation/process.py
@@ -61,6 +61,8 @@
     """Numbers of tasks and run times in seconds that jobs are drawn from."""
     cancelled: float = 0.4
     """Share of jobs that are cancelled by their users."""
+    saving: float = 0.3
+    """Share of jobs whose tasks have checkpoints."""
     zoned: float = 1 / 3
     """Share of jobs with several tasks that have a constraint on zones."""
     graphs: bool = False
--- a/tealrill/simulation/scenario.py
+++ b/tealrill/simulation/scenario.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Final
 
 from tealrill.simulation.cluster import SimulatedCluster, connected
 from tealrill.simulation.faults import FaultInjector
@@ -15,6 +15,9 @@
 from tealrill.simulation.users import UserJob
 from tealrill.simulation.worker import Description
 
+_CHECKPOINT_S: Final = 5.0
+_SAVE_S: Final = 1.5
+
 Script = Callable[[SimulatedCluster], Coroutine[Any, Any, None]]
 """The faults of a day; it returns when all of them have ended."""
 
@@ -103,7 +106,11 @@
             "scatter": zoned == "scatter", "loaners": rng.random() < 0.7, "guessS": run_s,
             "snapshotS": 0.0, "flushS": 0.0, "dueS": None,
         }  # fmt: skip
-        world.descriptions[job_id] = Description(pieces, run_s, vcpus)
+        description = Description(pieces, run_s, vcpus)
+        if world.shape.saving and rng.random() < world.shape.saving:
+            description.checkpoint_s = body["snapshotS"] = _CHECKPOINT_S
+            description.save_s = body["flushS"] = _SAVE_S
+        world.descriptions[job_id] = description
         job = world.jobs[job_id] = UserJob(job_id, body)
         if rng.random() < world.shape.cancelled:
             job.cancel_at = world.now() + rng.uniform(2.0, 60.0)
--- a/tealrill/simulation/worker.py
+++ b/tealrill/simulation/worker.py
@@ -24,11 +24,15 @@
 class Task:
     """An attempt of a task on a machine."""
 
-    attempt: int
     state: str = wire.FETCHING
     why: str | None = None
     due: float = 0.0
     """When its present state ends."""
+    checkpoint_at: float = math.inf
+    """When it saves a checkpoint by itself the next time."""
+    progress_s: float = 0.0
+    """Run time that its checkpoints had when it began to run."""
+    running_since: float = 0.0
 
 
 @dataclass
@@ -38,6 +42,10 @@
     pieces: int
     run_s: float
     vcpus: float
+    checkpoint_s: float = 0.0
+    """Interval of checkpoints; 0 for a job that has none."""
+    save_s: float = 0.0
+    """How long a task of it saves when it is stopped."""
 
 
 @dataclass
@@ -52,17 +60,22 @@
     """Called when a task starts to run on this machine."""
     results: set[str]
     """Tasks that have completed on any machine."""
+    checkpoints: dict[str, float]
+    """Run time that each task has saved; they are stored outside the machines."""
     incarnation: int = 1
     sequence: int = 0
     token: int = 0
     renewed_at: float = 0.0
-    tasks: dict[str, Task] = field(default_factory=dict)
+    tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
+    """By name and attempt."""
     completed: Callable[[Worker, str], None] = lambda _, __: None
     """Called when a task of this machine has completed."""
     fetched_at: float = math.inf
     """When it has fetched the image of the jobs."""
     hung_at: float | None = None
     """When the machine was paused; requests to it wait until it is resumed."""
+    taken_at: float | None = None
+    """When the cloud takes the machine back, once a notice has come."""
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     """Set while something has changed that no heartbeat has told of yet."""
     token_changed_at: float = -math.inf
@@ -73,7 +86,7 @@
 
     def on(self) -> list[str]:
         """Return the tasks that occupy this machine as the invariants count them."""
-        return [n for n, t in self.tasks.items() if t.state in (wire.RUNNING, wire.SAVING)]
+        return [n for (n, _), t in self.tasks.items() if t.state in (wire.RUNNING, wire.SAVING)]
 
     def observe_token(self, token: int) -> None:
         """Keep the highest token seen; it counts as a change at most once in half a lease."""
@@ -95,20 +108,39 @@
             return
         if self.hung_at is not None:
             return
-        for name, task in self.tasks.items():
+        for (name, _), task in self.tasks.items():
+            if task.state == wire.RUNNING and now >= task.checkpoint_at:
+                self._save(name, task)
             if task.state == wire.EXITED or now < task.due:
                 continue
-            job = self.jobs[job_of(name)]
             if task.state == wire.FETCHING:
-                task.state = wire.RUNNING
-                task.due = now + (0.0 if name in self.results else job.run_s)
-                self.started(self, name)
+                self._run(name, task)
+            elif task.state == wire.SAVING:
+                self._save(name, task)
+                task.state, task.why = wire.EXITED, wire.WHY_STOPPED
             else:
                 task.state, task.why = wire.EXITED, wire.WHY_DONE
                 self.results.add(name)
                 self.completed(self, name)
             self.changed.set()
 
+    def _run(self, name: str, task: Task) -> None:
+        now, job = self.now(), self.jobs[job_of(name)]
+        task.state, task.running_since = wire.RUNNING, now
+        task.progress_s = self.checkpoints.get(name, 0.0)
+        task.due = now + (0.0 if name in self.results else job.run_s - task.progress_s)
+        if job.checkpoint_s:
+            task.checkpoint_at = now + job.checkpoint_s
+        self.started(self, name)
+
+    def _save(self, name: str, task: Task) -> None:
+        """Store the progress of a task, as it does by itself or when it is stopped."""
+        ran_s = self.now() - task.running_since
+        if task.state == wire.SAVING:
+            ran_s -= self.jobs[job_of(name)].save_s
+        self.checkpoints[name] = max(self.checkpoints.get(name, 0.0), task.progress_s + ran_s)
+        task.checkpoint_at = self.now() + self.jobs[job_of(name)].checkpoint_s
+
     def hang(self) -> None:
         """Pause the machine."""
         if self.hung_at is None:
@@ -122,6 +154,8 @@
         paused_s, self.hung_at = self.now() - self.hung_at, None
         for task in self.tasks.values():
             task.due += paused_s
+            task.checkpoint_at += paused_s
+            task.running_since += paused_s
         self.tick()
 
     def report(self) -> dict[str, Any]:
@@ -129,44 +163,56 @@
         self.sequence += 1
         machine = self.machine
         lines = []
-        for name, task in self.tasks.items():
-            line = {"piece": name, "try": task.attempt, "status": task.state}
+        for (name, attempt), task in self.tasks.items():
+            line = {"piece": name, "try": attempt, "status": task.state}
             lines.append(line if task.why is None else {**line, "cause": task.why})
+        notice_s = None if self.taken_at is None else max(0.0, self.taken_at - self.now())
         return {
             "kiln": machine.id, "addr": machine.addr, "build": "m8", "hall": machine.zone,
             "loaners": machine.spot, "shift": self.incarnation, "tick": self.sequence,
-            "baton": self.token, "warningS": None, "pieces": lines,
+            "baton": self.token, "warningS": notice_s, "pieces": lines,
         }  # fmt: skip
 
     def execute(self, commands: list[dict[str, Any]]) -> None:
         """Execute start, stop and forget commands; repeated ones have no effect."""
         for command in commands:
             name, attempt = command["piece"], command["try"]
-            known = self.tasks.get(name)
+            known = self.tasks.get((name, attempt))
             if command["verb"] == wire.START:
-                if known is None or (known.attempt != attempt and known.state == wire.EXITED):
+                if known is None:
                     self._start(name, attempt)
-            elif known is None or known.attempt != attempt:
+            elif known is None:
                 continue
             elif command["verb"] == wire.STOP and known.state != wire.EXITED:
-                known.state, known.why = wire.EXITED, wire.WHY_STOPPED
-                self.changed.set()
+                self._stop(name, known, command["windupS"])
             elif command["verb"] == wire.FORGET and known.state == wire.EXITED:
-                del self.tasks[name]
+                del self.tasks[name, attempt]
                 self.changed.set()
 
+    def _stop(self, name: str, task: Task, grace_s: float) -> None:
+        """Stop a task; one that has checkpoints saves first if it is given the time."""
+        job = self.jobs[job_of(name)]
+        if task.state == wire.SAVING and grace_s > 0:
+            return
+        if task.state == wire.RUNNING and job.checkpoint_s and grace_s >= job.save_s:
+            task.state, task.due = wire.SAVING, self.now() + job.save_s
+        else:
+            task.state, task.why = wire.EXITED, wire.WHY_STOPPED
+        self.changed.set()
+
     def _start(self, name: str, attempt: int) -> None:
         self.changed.set()
         job = self.jobs[job_of(name)]
-        used = sum(
-            self.jobs[job_of(n)].vcpus for n, t in self.tasks.items() if t.state != wire.EXITED
-        )
+        present = [n for (n, _), t in self.tasks.items() if t.state != wire.EXITED]
+        used = sum(self.jobs[job_of(n)].vcpus for n in present)
         self.fetched_at = min(self.fetched_at, self.now() + 0.5)
-        if used + job.vcpus > CloudService.VCPUS:
-            self.tasks[name] = Task(attempt, wire.EXITED, "no_room")
+        if name in present:
+            self.tasks[name, attempt] = Task(wire.EXITED, "in_use")
+        elif used + job.vcpus > CloudService.VCPUS:
+            self.tasks[name, attempt] = Task(wire.EXITED, "no_room")
         else:
             # All jobs have one image, which a machine fetches once.
-            self.tasks[name] = Task(attempt, due=max(self.now(), self.fetched_at))
+            self.tasks[name, attempt] = Task(due=max(self.now(), self.fetched_at))
 
     async def __call__(self, source: str, method: str, target: str, body: bytes | None) -> Reply:
         """Handle a request with commands; status 409 if its fencing token or incarnation is old."""
--- a/tealrill/simulation/worker_fleet.py
+++ b/tealrill/simulation/worker_fleet.py
@@ -57,6 +57,7 @@
             self.world.descriptions,
             self.world.invariants.check_start,
             self.world.results,
+            self.world.checkpoints,
         )
         worker.completed = self.world.users.task_completed
         self.world.workers[machine.id] = worker
--- a/tests/test_flapping.py
+++ b/tests/test_flapping.py
@@ -33,7 +33,7 @@
         await FaultInjector(world).flapping(way, FLAPPING_S)
 
     for seed, nodes in ((1, 3), (2, 5)):
-        shape = Shape(nodes=nodes, jobs=LONG_JOBS, cancelled=0.0)
+        shape = Shape(nodes=nodes, jobs=LONG_JOBS, cancelled=0.0, saving=0.0)
         world = play(seed, shape, FLAPPING_S, script=script, calm_s=5.0)
         assert not world.broken, [*world.events, *world.broken]
         assert sum(job.cancelled_at is not None for job in world.jobs.values()) >= 2
@@ -75,7 +75,9 @@
                     led_after_s.append(world.now() - began)
             await asyncio.sleep(0.1)
 
-    world = play(seed, Shape(nodes=nodes, jobs=LONG_JOBS), FLAPPING_S, script=script, calm_s=5.0)
+    world = play(
+        seed, Shape(nodes=nodes, jobs=LONG_JOBS, saving=0.0), FLAPPING_S, script=script, calm_s=5.0
+    )
     assert not world.broken, [*world.events, *world.broken]
     assert led_after_s and led_after_s[0] < SUCCEEDED_WITHIN_S
 
--- a/tests/test_leader_churn.py
+++ b/tests/test_leader_churn.py
@@ -60,6 +60,7 @@
         limit_vcpus=80.0,
         jobs=LONG_JOBS,
         cancelled=0.0,
+        saving=0.0,
     )
 
 
