Read once more: one check for what has ended, one condition for a suspected leader, no set that grows

Cause: the simulation's two checks of commands each looked up what the leader knows; a revocation's step tested again what `lost_term` had just found out and keeps in `_suspected`; `_renew` asked three times whether the list is current; which late tasks were logged was kept for the whole term, though the stop that it belongs to ends with the binding; a take-over went through all bindings for one number of its log line; `first_renewals` counts overtaken heartbeats, too. Change: `Invariants._is_known_to_have_ended`; `_suspected` is asked; `_renew` has one branch a case; `Stop.logged_late` in place of the set; the sum goes over jobs; the count is `old_list_renewals`, in /admin/state and the operators' page as well; two callbacks stand in the section that uses them.

--- a/tealrill/fleet/cancelled_tasks.py
+++ b/tealrill/fleet/cancelled_tasks.py
@@ -10,7 +10,7 @@
 from tealrill.fleet.machine import Machine
 from tealrill.state.bindings import Job
 from tealrill.state.job_store import JobStore
-from tealrill.types import FencingToken, MachineId, TaskId, Wall
+from tealrill.types import FencingToken, MachineId, Wall
 
 log = logging.getLogger(__name__)
 
@@ -35,11 +35,10 @@
     def __init__(self, job_store: JobStore, term: FencingToken) -> None:
         self._job_store = job_store
         self._term = term
-        self._logged: set[tuple[TaskId, MachineId]] = set()
         self.renewals_with_stops = 0
         """Answers of this term that renewed a lease and stopped something."""
-        self.first_renewals = 0
-        """Answers to heartbeats that may be older than this term."""
+        self.old_list_renewals = 0
+        """Answers to heartbeats whose list may be out of date."""
 
     def observe_renewal(
         self,
@@ -55,18 +54,18 @@
         Such a task is listed longer than `late_after_s` after its job was cancelled; it is logged
         once a term.
         """
-        self.first_renewals += not list_is_current
+        self.old_list_renewals += not list_is_current
         if not any(command["verb"] == wire.STOP for command in commands):
             return
         self.renewals_with_stops += 1
         listed = {status.task for status in heartbeat.tasks if status.state != wire.EXITED}
         for binding in machine.bindings.values():
-            job = binding.chunk.job
-            age_s = _cancelled_s_ago(job, wall)
-            key = (binding.task, machine.id)
-            if age_s <= late_after_s or str(binding.task) not in listed or key in self._logged:
+            stop, age_s = binding.stop, _cancelled_s_ago(binding.chunk.job, wall)
+            if stop is None or stop.logged_late or age_s <= late_after_s:
                 continue
-            self._logged.add(key)
+            if str(binding.task) not in listed:
+                continue
+            stop.logged_late = True
             log.info(
                 "cancelled task still listed: task=%s attempt=%d machine=%s term=%d "
                 "cancelled_s_ago=%.1f list=%s lease=renewed with the stop",
--- a/tealrill/fleet/heartbeats.py
+++ b/tealrill/fleet/heartbeats.py
@@ -105,14 +105,14 @@
         may each later one.
         """
         machine.answered_at = now
-        if list_is_current and machine.settled is not None:
+        if not list_is_current:
+            commands = self._fleet.commands.stops_for_old_list(machine, heartbeat, now)
+        elif machine.settled is not None:
             return []
-        if list_is_current:
-            commands = self._fleet.commands.for_response(machine, heartbeat, now)
         else:
-            commands = self._fleet.commands.stops_for_old_list(machine, heartbeat, now)
-        if list_is_current and not commands and self._as_it_should_be(machine, heartbeat):
-            machine.settled = heartbeat.tasks
+            commands = self._fleet.commands.for_response(machine, heartbeat, now)
+            if not commands and self._as_it_should_be(machine, heartbeat):
+                machine.settled = heartbeat.tasks
         self._fleet.cancelled_tasks.observe_renewal(
             machine, heartbeat, commands, list_is_current, wall, self._fleet.stop_timeout_s
         )
--- a/tealrill/fleet/provisioning.py
+++ b/tealrill/fleet/provisioning.py
@@ -402,6 +402,8 @@
         else:
             self.capacity_backoff.hopeful(machine.kind)
 
+    # -- the list and the catalogue -------------------------------------------------------------
+
     def _unheard_zones(self) -> frozenset[str]:
         return self.partitioned_zones()
 
@@ -424,8 +426,6 @@
         machine = self._fleet.machines.get(machine_id) if machine_id is not None else None
         return machine is not None and machine.listed_at is None and machine.last_contact_at is None
 
-    # -- the list and the catalogue -------------------------------------------------------------
-
     async def run_lists(self) -> None:
         """Reconcile the machines with the cloud's list until the term ends."""
         fetched: Monotonic | None = None
--- a/tealrill/leader/record_loader.py
+++ b/tealrill/leader/record_loader.py
@@ -109,7 +109,7 @@
             len(bindings),
             revision,
             now - began,
-            sum(binding.chunk.job.cancelled for binding in bindings),
+            sum(job.bound_count for job in self._job_store.jobs.values() if job.cancelled),
         )
         return CancellationKnowledge(revision, began)
 
--- a/tealrill/leadership/lease_revocation.py
+++ b/tealrill/leadership/lease_revocation.py
@@ -136,7 +136,9 @@
             if self.lost_term is None or leader is None:
                 # A try that brought no answer is over: nothing was ended by it.
                 self._election.revoking = None
-                await self._observe_interruptions(leader)
+                if self._suspected is not None:
+                    # An outage between two requests of this member would not be noticed.
+                    await self._client.get(LEADER_KEY)
             elif await self._agreed(leader):
                 await self._exclude_members(leader)
         elif attempt.may_stand_at == math.inf:
@@ -144,14 +146,6 @@
         elif self._now() >= max(attempt.may_stand_at, self._election.promised_until):
             await self._readmit_itself(attempt)
 
-    async def _observe_interruptions(self, leader: KnownLeader | None) -> None:
-        """Ask the state service something while the leader is not heard.
-
-        An outage between two requests of this member would not be noticed.
-        """
-        if leader is not None and self._election.mine is None and self._unheard_since() is not None:
-            await self._client.get(LEADER_KEY)
-
     def _is_over(self, attempt: _Attempt) -> bool:
         known = self._election.known
         return self._election.mine is not None or (known is not None and known != attempt.leader)
--- a/tealrill/simulation/invariants.py
+++ b/tealrill/simulation/invariants.py
@@ -120,30 +120,29 @@
 
     def check_commands(self, name: str, commands: list[dict[str, Any]]) -> None:
         """Check that no start leaves a controller that knows that its job has ended."""
-        node = self.world.hosts[name].node
-        if node is None or node.leader is None:
-            return
-        jobs = node.leader.job_store.jobs
         for command in commands:
-            job = jobs.get(JobId(job_of(command["piece"])))
-            if command["verb"] == wire.START and (job is None or job.cancelled):
+            if command["verb"] == wire.START and self._is_known_to_have_ended(
+                name, command["piece"]
+            ):
                 self.world.breach("started_late", f"{command['piece']} by {name}")
 
     def check_renewal(
         self, name: str, heartbeat: dict[str, Any], commands: list[dict[str, Any]]
     ) -> None:
         """Check that a lease is renewed only with the stops of what the leader knows has ended."""
-        node = self.world.hosts[name].node
-        if node is None or node.leader is None:
-            return
-        jobs = node.leader.job_store.jobs
         stopped = {(c["piece"], c["try"]) for c in commands if c["verb"] == wire.STOP}
         for line in heartbeat["pieces"]:
-            job = jobs.get(JobId(job_of(line["piece"])))
-            has_ended = job is None or job.cancelled
             if (
-                has_ended
-                and line["status"] != wire.EXITED
+                line["status"] != wire.EXITED
                 and (line["piece"], line["try"]) not in stopped
+                and self._is_known_to_have_ended(name, line["piece"])
             ):
                 self.world.breach("renewed_unstopped", f"{line['piece']} by {name}")
+
+    def _is_known_to_have_ended(self, name: str, task: str) -> bool:
+        """Return whether the leader on that host, if there is one, knows that the job has ended."""
+        node = self.world.hosts[name].node
+        if node is None or node.leader is None:
+            return False
+        job = node.leader.job_store.jobs.get(JobId(job_of(task)))
+        return job is None or job.cancelled
--- a/tealrill/state/bindings.py
+++ b/tealrill/state/bindings.py
@@ -70,6 +70,8 @@
     reason: str
     grace_s: float
     since: Monotonic
+    logged_late: bool = False
+    """The log has it that the task was listed long after its job's cancellation."""
 
 
 @dataclass(slots=True, eq=False)
--- a/tealrill/status.py
+++ b/tealrill/status.py
@@ -54,7 +54,7 @@
         shown["head"] = plan.reserved_job
         shown["duties"] = leader.duties()
         cancelled = leader.fleet.cancelled_tasks
-        shown["first_renewals"] = cancelled.first_renewals
+        shown["old_list_renewals"] = cancelled.old_list_renewals
         shown["renewals_with_stops"] = cancelled.renewals_with_stops
         shown["cancelled_bound"] = [asdict(row) for row in cancelled.rows(wall_now())]
         shown["waiting"] = {job.id: left for job, left in plan.unplaced}
--- a/tests/test_leader_churn.py
+++ b/tests/test_leader_churn.py
@@ -175,7 +175,7 @@
         "cancelled_s_ago=20.0 list=old lease=renewed with the stop"
     )
     shown = term.fleet.cancelled_tasks
-    assert (shown.first_renewals, shown.renewals_with_stops) == (1, 2)
+    assert (shown.old_list_renewals, shown.renewals_with_stops) == (1, 2)
     assert shown.rows(Wall(5.0)) == [CancelledJob("wk-000412", 25.0, 1, [MACHINE])]
 
 
