Scale-out counts capacity only in the zones that a job's zone rules leave it

A service never got its other replicas.

Cause: `capacity.rentals` asked only whether a kind of machine is allowed (`JobView.may_use`), not whether the zone still is.

A one-zone job without bound tasks is counted in a single zone. Jobs without a rule are counted as before.

The reference planner has the rule in its own words.

--- a/tealrill/scheduler/capacity.py
+++ b/tealrill/scheduler/capacity.py
@@ -14,6 +14,7 @@
 from tealrill.scheduler.free_capacity import FreeCapacity, availability
 from tealrill.scheduler.model import JobView, Kind, MachineView, Policy
 from tealrill.scheduler.reservation import slots
+from tealrill.scheduler.zone_limits import ZoneLimits
 from tealrill.types import Monotonic
 
 __all__ = ["Kind", "Offer", "Rental", "rentals"]
@@ -138,6 +139,18 @@
     offers: list[tuple[Offer, int]]
     """Offers that may be rented for the job, with the number of its tasks that fit on one machine.
     A job without any is still allocated its part of the existing capacity."""
+    other_offers: list[tuple[Offer, int]]
+    """Offers for the zones in which the job needs machines and `offers` has none."""
+
+    def offers_within(self, zone_limits: ZoneLimits) -> list[tuple[Offer, int]]:
+        """Return the offers in the zones that may take another task."""
+        if not zone_limits.is_limited:
+            return self.offers
+        for offers in (self.offers, self.other_offers):
+            allowed = [(offer, slots) for offer, slots in offers if zone_limits.allows(offer.zone)]
+            if allowed:
+                return allowed
+        return []
 
 
 def _demands(
@@ -159,7 +172,10 @@
     for job, waiting in unplaced:
         slots_by_type: dict[str, int] = {}
         fitting: list[tuple[Offer, bool, float]] = []
+        has_zone_rules = job.has_zone_rules
         for offer, is_available in offered:
+            if has_zone_rules and job.tasks_allowed_in_zone(offer.zone) <= 0:
+                continue
             if offer.allows(job):
                 if offer.type not in slots_by_type:
                     slots_by_type[offer.type] = offer.slots(job)
@@ -176,15 +192,14 @@
             if is_available and price <= price_limit
         ]
         wait_s = min(offer.boot_s for offer, _, _ in fitting)
-        offers = cheap or [
-            (o, slots_by_type[o.type]) for o, is_available, _ in fitting if is_available
-        ]
+        all_offers = [(o, slots_by_type[o.type]) for o, is_available, _ in fitting if is_available]
+        offers = cheap or all_offers
         if not cheap and job in affordable:
             # Only expensive machines are available, and the job doesn't need them to meet its
             # deadline: any capacity that becomes free by its latest start is good enough.
             wait_s = max(wait_s, job.latest_start_s[0])
             offers = []
-        demands.append(_Demand(job, waiting, wait_s, offers))
+        demands.append(_Demand(job, waiting, wait_s, offers, all_offers if offers else []))
         if offers:
             end = len(demands)
     return demands[:end]
@@ -222,19 +237,19 @@
     machine_counts = Counter((machine.type, machine.zone) for machine in machines)
     rental_counts: dict[Offer, int] = {}
     for demand, shares in zip(demands, all_shares, strict=True):
-        job = demand.job
-        left = demand.waiting - free_capacity.allocate(
-            job, demand.waiting, shares, Monotonic(now + demand.wait_s)
-        )
+        until = Monotonic(now + demand.wait_s)
+        zone_limits = ZoneLimits(demand.job, kinds, shares, free_capacity)
+        zone_limits.choose_zone(demand.waiting, {o.zone for o, _ in demand.offers}, until)
+        left = demand.waiting - zone_limits.allocate(demand.waiting, until)
         while left > 0:
-            offer = _choose(left, demand.offers, machine_counts)
+            offer = _choose(left, demand.offers_within(zone_limits), machine_counts)
             if offer is None:
                 break
             machine_number = free_capacity.add(
                 offer.kind, [(Monotonic(now + offer.boot_s), offer.cpus)]
             )
             until = Monotonic(now + max(demand.wait_s, offer.boot_s))
-            allocated = free_capacity.allocate(job, left, shares, until, machine_number)
+            allocated = zone_limits.allocate(left, until, machine_number)
             if allocated <= 0:
                 break
             left -= allocated
--- a/tealrill/scheduler/free_capacity.py
+++ b/tealrill/scheduler/free_capacity.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Container, Iterable, Iterator, Sequence
 from itertools import repeat
 from typing import Final
 
@@ -149,6 +149,28 @@
         number `first_number` on are used. One processor may serve several tasks one after the
         other.
         """
+        allocated = 0
+        for number, count, cpu_s in self._fits(job, limit, shares, until, first_number):
+            allocated += count
+            if cpu_s > 0:
+                self._use(number, cpu_s)
+        return allocated
+
+    def fitting_tasks(
+        self, job: JobView, limit: int, shares: Sequence[float | None], until: Monotonic
+    ) -> int:
+        """Return how many tasks `allocate` would allocate, without allocating them."""
+        return sum(count for _, count, _ in self._fits(job, limit, shares, until, 0))
+
+    def _fits(
+        self,
+        job: JobView,
+        limit: int,
+        shares: Sequence[float | None],
+        until: Monotonic,
+        first_number: int,
+    ) -> Iterator[tuple[int, int, float]]:
+        """Yield per machine on which tasks fit: its number, their count and processor seconds."""
         run_s = max(_MIN_RUN_S, job.estimate_s)
         horizon = self._horizon(until) if until in self._common_moments else None
         shortest: Iterable[float] = repeat(0.0, len(self._kind_numbers) - first_number)
@@ -164,15 +186,15 @@
             if need is None:
                 continue
             if need <= 0:
-                return limit
+                yield number, left, 0.0
+                return
             self.inspected += 1
-            allocated = min(left, self._fitting_tasks(number, need, run_s, until, horizon))
-            if allocated > 0:
-                left -= allocated
-                self._use(number, allocated * need * run_s)
-        return limit - left
+            count = min(left, self._machine_slots(number, need, run_s, until, horizon))
+            if count > 0:
+                left -= count
+                yield number, count, count * need * run_s
 
-    def _fitting_tasks(
+    def _machine_slots(
         self, number: int, need: float, run_s: float, until: Monotonic, horizon: _Horizon | None
     ) -> int:
         """Return how many more tasks of `need` processors fit on a machine; may be negative."""
--- a/tealrill/scheduler/model.py
+++ b/tealrill/scheduler/model.py
@@ -191,6 +191,11 @@
             and (self.types is None or type_name in self.types)
         )
 
+    @property
+    def has_zone_rules(self) -> bool:
+        """True if the zones of its bound tasks limit where the others may start."""
+        return self.one_zone or self.spread
+
     def tasks_allowed_in_zone(self, zone: str) -> int:
         """Return how many more of its tasks its zone rules allow in a zone now."""
         if self.one_zone and any(n for z, n in self.zone_counts.items() if z != zone):
--- a/tests/reference_planner.py
+++ b/tests/reference_planner.py
@@ -168,6 +168,11 @@
         self.free = free
         self.used_cpu_s = 0.0
 
+    def copy(self) -> _Capacity:
+        copied = _Capacity(self.kind, self.free)
+        copied.used_cpu_s = self.used_cpu_s
+        return copied
+
     def allocate(self, need: float, run_s: float, limit: int, until: Monotonic) -> int:
         supply = 0.0
         for at, cpus in self.free:
@@ -179,8 +184,44 @@
 
 
 def _allocate(
+    job: JobView,
+    limit: int,
+    capacities: list[_Capacity],
+    sizes: dict[str, Offer],
+    until: Monotonic,
+    allowed: dict[str, int] | None,
+) -> int:
+    """Allocate up to `limit` tasks.
+
+    `allowed` has the number that each zone may still take; None for a job without zone rules.
+    """
+    if allowed is None:
+        return _allocate_in_order(job, limit, capacities, sizes, until)
+    left = limit
+    for zone in sorted(allowed):
+        for capacity in capacities:
+            if capacity.kind[1] != zone or not job.may_use(*capacity.kind):
+                continue
+            possible = min(left, allowed[zone])
+            if possible <= 0:
+                continue
+            need = _cpu_share(job, sizes[capacity.kind[0]])
+            count = (
+                capacity.allocate(need, max(1.0, job.estimate_s), possible, until)
+                if need > 0
+                else possible
+            )
+            left -= count
+            allowed[zone] -= count
+            if count and job.one_zone:
+                allowed.update((other, 0) for other in allowed if other != zone)
+    return limit - left
+
+
+def _allocate_in_order(
     job: JobView, limit: int, capacities: list[_Capacity], sizes: dict[str, Offer], until: Monotonic
 ) -> int:
+    """Allocate up to `limit` tasks of a job without zone rules, in the order of the machines."""
     left = limit
     for capacity in capacities:
         if left > 0 and job.may_use(*capacity.kind):
@@ -191,6 +232,28 @@
     return limit - left
 
 
+def _zone_limits(
+    job: JobView,
+    waiting: int,
+    zones: set[str],
+    rentable: set[str],
+    capacities: list[_Capacity],
+    sizes: dict[str, Offer],
+    until: Monotonic,
+) -> dict[str, int]:
+    """Return how many of the waiting tasks each zone may take."""
+    allowed = {zone: max(0, job.tasks_allowed_in_zone(zone)) for zone in zones}
+    if job.one_zone and not any(job.zone_counts.values()):
+        ranks = {}
+        for zone in zones:
+            trial = [c.copy() for c in capacities if c.kind[1] == zone]
+            fitting = _allocate(job, waiting, trial, sizes, until, {zone: waiting})
+            may_start = not job.gang or fitting >= waiting or zone in rentable
+            ranks[zone] = (may_start, fitting, zone in rentable)
+        allowed = {zone: waiting if ranks[zone] == max(ranks.values()) else 0 for zone in zones}
+    return allowed
+
+
 def _price(job: JobView, left: int, offer: Offer) -> float:
     slots = offer.slots(job)
     return offer.price / slots * (1 + 0.5 * max(0, slots - left) / slots)
@@ -228,8 +291,13 @@
         where = (machine.type, machine.zone)
         counts[where] = counts.get(where, 0) + 1
     wanted: dict[Offer, int] = {}
+    zones = {zone for _, zone, _ in (c.kind for c in capacities)} | {o.zone for o in catalogue}
     for job, waiting in unplaced:
-        fitting = [o for o in catalogue if o.allows(job) and o.slots(job) > 0]
+        fitting = [
+            o
+            for o in catalogue
+            if o.allows(job) and o.slots(job) > 0 and job.tasks_allowed_in_zone(o.zone) > 0
+        ]
         if not fitting:
             continue
         lowest = min(_price(job, waiting, o) for o in fitting)
@@ -238,17 +306,26 @@
         wait_s = min(o.boot_s for o in fitting)
         if not cheap and job in affordable:
             wait_s = max(wait_s, job.latest_start_s[0])
-        left = waiting - _allocate(job, waiting, capacities, sizes, Monotonic(now + wait_s))
-        if not cheap and job in affordable:
-            continue
+            ready = []
+        until = Monotonic(now + wait_s)
+        rentable = {o.zone for o in cheap or ready}
+        allowed = (
+            _zone_limits(job, waiting, zones, rentable, capacities, sizes, until)
+            if job.one_zone or job.spread
+            else None
+        )
+        left = waiting - _allocate(job, waiting, capacities, sizes, until, allowed)
         while left > 0:
-            offer = _choose(job, left, cheap or ready, counts)
+            offers = cheap or ready
+            if allowed is not None:
+                offers = [o for o in cheap if allowed[o.zone] > 0]
+                offers = offers or [o for o in ready if allowed[o.zone] > 0]
+            offer = _choose(job, left, offers, counts)
             if offer is None:
                 break
             capacity = _Capacity(offer.kind, [(Monotonic(now + offer.boot_s), offer.cpus)])
-            allocated = _allocate(
-                job, left, [capacity], sizes, Monotonic(now + max(wait_s, offer.boot_s))
-            )
+            until = Monotonic(now + max(wait_s, offer.boot_s))
+            allocated = _allocate(job, left, [capacity], sizes, until, allowed)
             if allocated <= 0:
                 break
             left -= allocated
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -302,6 +302,76 @@
     assert count([machine_view("m-1", cpus=0.0, running=leaving)]) == []
 
 
+def _zone_offers(*zones: str, spot: bool = False, price: float = 1.0) -> list[Offer]:
+    return [Offer("big", zone, spot, 8.0, 0.0, 64.0, price, 30.0, 1.0) for zone in zones]
+
+
+def _rented_by_zone(
+    job: JobView, machines: list[MachineView], available: list[Offer] | None = None
+) -> dict[str, int]:
+    catalogue = _zone_offers("north", "south")
+    found = rentals(
+        [(job, job.waiting)],
+        machines,
+        catalogue if available is None else [*catalogue, *available],
+        catalogue if available is None else available,
+        NOW,
+        Policy(),
+    )
+    return {rental.zone: rental.count for rental in found}
+
+
+def test_capacity_in_a_zone_that_is_full_for_a_spread_job_is_rented_in_another() -> None:
+    """Guards against a spread job that waits for ever beside machines of a zone that is full."""
+    idle = [machine_view("m-1"), machine_view("m-2")]
+    waiting = job_view("job-1", spread=True, tasks=2, waiting=1, zone_counts={"north": 1})
+    assert _rented_by_zone(waiting, idle) == {"south": 1}
+    assert _rented_by_zone(waiting, [*idle, machine_view("m-3", zone="south")]) == {}
+    # Nothing is rented in the full zone either, even if only that one has machines.
+    assert _rented_by_zone(waiting, [], _zone_offers("north")) == {}
+
+
+def test_a_spread_job_without_bound_tasks_is_rented_for_in_every_zone() -> None:
+    """Guards against one machine for both tasks of a job that may not run both there."""
+    waiting = job_view("job-1", spread=True, tasks=2, waiting=2)
+    assert _rented_by_zone(waiting, []) == {"north": 1, "south": 1}
+    assert _rented_by_zone(waiting, [machine_view("m-1")]) == {"south": 1}
+    large = job_view("job-1", spread=True, tasks=9, waiting=9)
+    assert _rented_by_zone(large, []) == {"north": 3, "south": 2}
+
+
+def test_capacity_in_other_zones_is_none_for_a_one_zone_job() -> None:
+    """Guards against a one-zone job that waits for ever beside machines of the other zone."""
+    idle = [machine_view("m-1", zone="south"), machine_view("m-2", zone="south")]
+    waiting = job_view("job-1", one_zone=True, tasks=3, waiting=1, zone_counts={"north": 2})
+    assert _rented_by_zone(waiting, idle) == {"north": 1}
+    assert _rented_by_zone(waiting, [*idle, machine_view("m-3")]) == {}
+
+
+def test_a_one_zone_job_without_bound_tasks_is_rented_for_in_a_single_zone() -> None:
+    """Guards against a gang whose capacity is spread over zones, so that it never starts."""
+    gang = job_view("job-1", one_zone=True, gang=True, tasks=8, waiting=8, estimate_s=60.0)
+    assert _rented_by_zone(gang, []) == {"north": 4}
+    halves = [machine_view("m-1"), machine_view("m-2", zone="south")]
+    assert _rented_by_zone(gang, halves) == {"north": 3}
+    # In a zone where nothing can be rented the gang would never fit.
+    assert _rented_by_zone(gang, [*halves, machine_view("m-3")], _zone_offers("south")) == {
+        "south": 3
+    }
+
+
+def test_a_zone_rule_outweighs_the_price() -> None:
+    """Guards against a job that waits for cheap machines of a zone in which it may not run."""
+    cheap_in_south = _zone_offers("south", spot=True, price=0.1)
+    waiting = job_view("job-1", one_zone=True, tasks=3, waiting=1, zone_counts={"north": 2})
+    assert _rented_by_zone(waiting, [], [*cheap_in_south, *_zone_offers("north")]) == {"north": 1}
+    spread = job_view("job-1", spread=True, tasks=2, waiting=2)
+    assert _rented_by_zone(spread, [], [*cheap_in_south, *_zone_offers("north")]) == {
+        "north": 1,
+        "south": 1,
+    }
+
+
 def test_expensive_machines_serve_only_jobs_that_need_them() -> None:
     # Otherwise jobs with time to spare fill expensive machines and have more of them rented.
     busy = [running_task("run-1", cpus=8.0, end_at=Monotonic(NOW + 20))]
