Simulation: a waiting task is checked against its zone rules and the cloud's machines

The invariant "waited" left out jobs with a zone rule, and looked at existing machines only. A task of any open job may now wait for 90 s at most in the quiet period while a machine, or one that the cloud has, could run it under the job's zone rules and its team's limit.

--- a/tealrill/simulation/cloud_service.py
+++ b/tealrill/simulation/cloud_service.py
@@ -32,10 +32,11 @@
 
     VCPUS: Final = 8.0
     BOOT_S: Final = 6.0
+    ZONES: Final = ("north", "south")
     TYPE: Final = {
         "label": "m8", "vcpus": VCPUS, "gpus": 0.0, "memoryGb": 64.0, "localGb": 50.0,
         "fetchGbPerS": 1.0, "price": 1.0, "marketPrice": 0.4, "startupS": BOOT_S,
-        "halls": ["north", "south"],
+        "halls": list(ZONES),
     }  # fmt: skip
     _LAG_S: Final = 4.0
 
--- a/tealrill/simulation/invariants.py
+++ b/tealrill/simulation/invariants.py
@@ -17,7 +17,15 @@
 RESPONSE_DEADLINE_S: Final = 75.0
 """Longest time in the quiet period without a response about an accepted, unfinished job."""
 PLACEMENT_DEADLINE_S: Final = 90.0
-"""Longest time in the quiet period that a task may wait while a machine has room for it."""
+"""Longest time in the quiet period that a task may wait while a machine, or one that the cloud has,
+has room for it."""
+
+
+def _zone_rules_allow(body: dict[str, Any], zone: str, tasks_by_zone: dict[str, int]) -> bool:
+    """Return True if a job with `tasks_by_zone` on machines may start another task in `zone`."""
+    if body["samePlace"] and any(n for other, n in tasks_by_zone.items() if other != zone):
+        return False
+    return not body["scatter"] or tasks_by_zone.get(zone, 0) < (body["pieces"] + 1) // 2
 
 
 class Invariants:
@@ -90,7 +98,9 @@
                 if self._waits_despite_capacity(job, open_, now):
                     reported.add(job.id)
                     self.cluster.record_violation(
-                        "waited", f"{job.id}: a machine had room for {PLACEMENT_DEADLINE_S:.0f} s"
+                        "waited",
+                        f"{job.id}: a machine or the cloud had room "
+                        f"for {PLACEMENT_DEADLINE_S:.0f} s",
                     )
                 if (
                     open_
@@ -112,11 +122,13 @@
         return now - job.waiting_since > PLACEMENT_DEADLINE_S
 
     def _has_capacity(self, job: UserJob) -> bool:
+        """Return True if a task waits that a machine, or one that the cloud has, could run now."""
         body = job.body
         needed_vcpus = body["vcpus"]
         placed = set(self.cluster.completed_tasks)
         team_vcpus = 0.0
-        free_capacity: list[tuple[str, bool, float]] = []
+        tasks_by_zone: dict[str, int] = {}
+        free_capacity = self._rentable_capacity()
         for worker in self.cluster.live_workers():
             used = 0.0
             for (name, _), task in worker.tasks.items():
@@ -126,24 +138,32 @@
                     used += self.cluster.descriptions[job_id].vcpus
                     if self.cluster.jobs[job_id].body["crew"] == body["crew"]:
                         team_vcpus += self.cluster.descriptions[job_id].vcpus
+                    if job_id == job.id:
+                        zone = worker.machine.zone
+                        tasks_by_zone[zone] = tasks_by_zone.get(zone, 0) + 1
             free_capacity.append(
                 (worker.machine.zone, worker.machine.spot, CloudService.VCPUS - used)
             )
-        if job.task_names <= placed:
-            return False
-        if (
-            body["samePlace"]
-            or body["scatter"]
-            or team_vcpus + needed_vcpus > self.cluster.config.limit_vcpus
-        ):
+        if job.task_names <= placed or team_vcpus + needed_vcpus > self.cluster.config.limit_vcpus:
             return False
         return any(
             free_vcpus >= needed_vcpus
             and body["hall"] in (None, zone)
             and (body["loaners"] or not spot)
+            and _zone_rules_allow(body, zone, tasks_by_zone)
             for zone, spot, free_vcpus in free_capacity
         )
 
+    def _rentable_capacity(self) -> list[tuple[str, bool, float]]:
+        """Return zone, spot flag and vCPUs of the machines that the cloud has; they are alike."""
+        if len(self.cluster.cloud.live_machines()) >= self.cluster.cloud.max_machines:
+            return []
+        return [
+            (zone, spot, CloudService.VCPUS)
+            for zone in CloudService.ZONES
+            for spot in (False, True)
+        ]
+
     def check_commands(self, name: str, commands: list[dict[str, Any]]) -> None:
         """Check that a controller sends no start command of a job that it knows has ended."""
         for command in commands:
