Election: a term whose election got no answer is taken up, not given away

What callers saw: after a leader was lost while the state service flapped, its successor was elected only after 21.6 s (bound 20 s); until then nothing new starts.

Cause: the answers to the election's transaction and to the reading after it were lost.

The campaign is kept now, and the key is read until that is answered. A failed guard's self-readmission no longer counts as the election's unknown outcome, and a key without a record no longer ends the step with an AttributeError.

--- a/tealrill/leadership/election.py
+++ b/tealrill/leadership/election.py
@@ -25,7 +25,6 @@
 from tealrill.change_log import ChangeLog
 from tealrill.state.client import (
     Committed,
-    GuardsFailed,
     OutcomeUnknownError,
     StateClient,
     StateError,
@@ -56,6 +55,7 @@
 LEASE_TTL_S: Final = 3.0
 _LEASE_MARGIN_S: Final = 0.2
 _RENEW_INTERVAL_S: Final = LEASE_TTL_S / 4
+_RENEW_TIMEOUT_S: Final = 0.6
 _WATCH_TIMEOUT_S: Final = 2.0
 _COMMIT_TIMEOUT_S: Final = 1.0
 """A third of the TTL of the lease that the leader's key is attached to."""
@@ -108,6 +108,18 @@
     changes: list[dict[str, Any]]
 
 
+class _UnconfirmedCampaign(NamedTuple):
+    """A campaign whose transaction got no answer, so that its outcome is unknown.
+
+    Its lease must not be ended as long as the term may still begin.
+    """
+
+    term: FencingToken
+    lease: LeaseId
+    lease_requested_at: Monotonic
+    """When the request that created the lease was sent."""
+
+
 async def _always_false() -> bool:
     return False
 
@@ -164,6 +176,8 @@
 
         The transaction may still be executed at any later time.
         """
+        self._unconfirmed: _UnconfirmedCampaign | None = None
+        """The campaign to be resolved before the next one; see `_resolve`."""
         self._incarnation = secrets.token_hex(8)
         self._changed = changed
         self._campaign_not_before = Monotonic(0.0)
@@ -208,6 +222,8 @@
         if self._campaign_term is not None and self._campaign_term > term:
             # That transaction may be executed late, after the leader's key was deleted.
             return f"stands for term {self._campaign_term}"
+        # The leader was elected later, so this node's campaign failed, or its term has ended.
+        self._unconfirmed = None
         self._own_grants_expire_at = Monotonic(max(self._own_grants_expire_at, until))
         return ""
 
@@ -252,6 +268,7 @@
         """Give up leadership, and don't campaign for `pause_s` seconds."""
         leadership = self.leadership
         self._campaign_not_before = Monotonic(monotonic_now() + pause_s)
+        self._unconfirmed = None
         self.step_down(reason)
         if leadership is not None:
             with contextlib.suppress(StateError):
@@ -261,7 +278,7 @@
         """Renew the lease of this node's term once."""
         sent = monotonic_now()
         try:
-            alive = await self._client.extend_lease(leadership.lease, timeout_s=0.6)
+            alive = await self._client.extend_lease(leadership.lease, timeout_s=_RENEW_TIMEOUT_S)
         except StateError as error:
             log.debug("lease renewal failed: term=%d error=%s", leadership.term, error)
             leadership.renewal_failed = True
@@ -286,6 +303,9 @@
 
     async def _follow(self) -> None:
         """Watch the leader's key for up to `_WATCH_TIMEOUT_S`; campaign if there is no leader."""
+        if self._unconfirmed is not None:
+            await self._resolve(self._unconfirmed)
+            return
         entries, revision = await self._client.scan(LEADER_KEY)
         entry = next((e for e in entries if e.key == LEADER_KEY), None)
         if entry is None:
@@ -310,6 +330,11 @@
 
         That process has ended, so it can't act on the key any more.
         """
+        if type(holder.get("term")) is not int or type(holder.get("incarnation")) is not str:
+            self._unreadable.error(
+                f"unreadable record: key={entry.key} revision={entry.version} "
+                "error=own key without a term or an incarnation"
+            )
         reelections = consecutive_reelections(holder, wall_now())
         if holder.get("incarnation") == self._incarnation:
             await self._delete_own_key(entry)
@@ -377,15 +402,17 @@
             self._status_log.info("no leader; campaign delayed by a lease extension grant")
             await asyncio.sleep(0.05)
             return
-        revision = await self._commit(candidacy)
+        try:
+            revision = await self._commit(candidacy)
+        except OutcomeUnknownError:
+            self._unconfirmed = _UnconfirmedCampaign(candidacy.term, lease, sent)
+            await self._resolve(self._unconfirmed)
+            return
         if revision is None:
             with contextlib.suppress(StateError):
                 await self._client.end_lease(lease)
             return
-        now = monotonic_now()
-        self._begin_term(
-            Leadership(candidacy.term, revision, lease, now, _validity(sent), renewed_at=sent)
-        )
+        self._begin_term(candidacy.term, revision, lease, sent)
 
     async def _wait_for_turn(self, mod_revision: Revision) -> bool:
         """Let other members campaign first where they should; return True to campaign now."""
@@ -425,22 +452,74 @@
         return _Candidacy(term, guards, changes)
 
     async def _commit(self, candidacy: _Candidacy) -> Revision | None:
-        """Return the revision at which this node was elected, None if it was not."""
+        """Return the revision at which this node was elected, None if it certainly was not.
+
+        Raises `OutcomeUnknownError` if the transaction got no answer.
+        """
         self._status_log.info(f"no leader; campaigning: term={candidacy.term}")
         self._campaign_term = candidacy.term
         try:
             result = await self._client.commit(
                 candidacy.guards, candidacy.changes, timeout_s=_COMMIT_TIMEOUT_S
             )
-            self._campaign_term = None
-            if isinstance(result, GuardsFailed) and exclusion_key(self._host) in result.keys:
-                await self._readmit_itself()
         except (TransactionRejectedError, StateUnavailableError):
             self._campaign_term = None
             return None
-        except OutcomeUnknownError:
-            return await self._read_back(candidacy.term)
-        return result.revision if isinstance(result, Committed) else None
+        self._campaign_term = None
+        if isinstance(result, Committed):
+            return result.revision
+        if exclusion_key(self._host) in result.keys:
+            with contextlib.suppress(StateError):
+                await self._readmit_itself()
+        return None
+
+    async def _resolve(self, campaign: _UnconfirmedCampaign) -> None:
+        """Begin the term of an unconfirmed campaign if the leader's key shows that it succeeded.
+
+        The key must have the lease of this campaign: an earlier campaign for the same term may have
+        been executed late, and the key would then end with the lease of that one. Once the validity
+        that the lease had from the beginning has passed, the lease must be renewed first: if it can
+        be, it has never ended and the key has existed all the time, as in `_renew_lease`. Until
+        then `_campaign_term` keeps this node from granting extensions to leaders of earlier terms.
+
+        Raises `StateError` if the outcome remains unknown.
+        """
+        entry = await self._client.get(LEADER_KEY)
+        if self._unconfirmed is not campaign:
+            return
+        if entry is None or not self._is_elected_by(campaign, entry):
+            self._unconfirmed = None
+            with contextlib.suppress(StateError):
+                await self._client.end_lease(campaign.lease)
+            return
+        renewed_at = campaign.lease_requested_at
+        if monotonic_now() >= _validity(renewed_at):
+            renewed_at = monotonic_now()
+            alive = await self._client.extend_lease(campaign.lease, timeout_s=_RENEW_TIMEOUT_S)
+            if self._unconfirmed is not campaign:
+                return
+            if not alive:
+                log.info("term ended before its election was confirmed: term=%d", campaign.term)
+                self._unconfirmed = None
+                return
+        log.info(
+            "election confirmed by the leader's key: term=%d unanswered_s=%.1f",
+            campaign.term,
+            monotonic_now() - campaign.lease_requested_at,
+        )
+        self._begin_term(campaign.term, Revision(entry.version), campaign.lease, renewed_at)
+
+    def _is_elected_by(self, campaign: _UnconfirmedCampaign, entry: wire.KeyValue) -> bool:
+        """Return True if the transaction of this campaign has set the leader's key."""
+        value = entry.value
+        return (
+            isinstance(value, dict)
+            and value.get("host") == self._host
+            and value.get("incarnation") == self._incarnation
+            and type(value.get("term")) is int
+            and value["term"] == campaign.term
+            and entry.lease == campaign.lease
+        )
 
     async def _readmit_itself(self) -> None:
         """Readmit this excluded host after `READMISSION_DELAY_S` without a leader.
@@ -484,23 +563,18 @@
             self._previous_grants_expire_at = monotonic_now()
         return monotonic_now() >= self._previous_grants_expire_at
 
-    async def _read_back(self, term: FencingToken) -> Revision | None:
-        """Return the revision of a campaign with an unknown outcome, None if it did not succeed."""
-        entry = await self._client.get(LEADER_KEY)
-        if (
-            entry is not None
-            and entry.value.get("incarnation") == self._incarnation
-            and entry.value.get("term") == term
-        ):
-            return Revision(entry.version)
-        return None
-
-    def _begin_term(self, leadership: Leadership) -> None:
-        """Begin a term."""
-        log.info("elected: term=%d key_revision=%d", leadership.term, leadership.mod_revision)
+    def _begin_term(
+        self, term: FencingToken, revision: Revision, lease: LeaseId, renewed_at: Monotonic
+    ) -> None:
+        """Begin a term whose lease was created or renewed by a request sent at `renewed_at`."""
+        log.info("elected: term=%d key_revision=%d", term, revision)
         self._status_log.reset()
+        self._unconfirmed = None
+        self._campaign_term = None
         self._others_excluded = False
-        self.leadership = leadership
-        self.known_leader = KnownLeader(self._host, leadership.term, leadership.mod_revision)
+        self.leadership = Leadership(
+            term, revision, lease, monotonic_now(), _validity(renewed_at), renewed_at=renewed_at
+        )
+        self.known_leader = KnownLeader(self._host, term, revision)
         self._client.set_leading(True)
         self._changed()
