A job with an unreadable chunk starts no task, also from chunks read later

What callers could see: a leader that can't read one chunk of a job blocks the job, since tasks of it may be running on machines that it does not know. Tasks of it were started all the same: a chunk read after the unreadable one counted its tasks as unblocked, and `block_tasks` left the requeue as it was, so that a blocked task was the first to be taken from it.

Cause: one mechanism for two things, tasks that wait for other jobs and jobs that must not go on. `JobStore.hold` is the second one now; `block_tasks` is called before chunks are loaded, and clears the requeue.

--- a/tealrill/graphs/leader_extension.py
+++ b/tealrill/graphs/leader_extension.py
@@ -239,7 +239,7 @@
             return False
         if name in self._unreadable:
             job.owner = self._unreadable[name]
-            self._term.job_store.block_tasks(job)
+            self._term.job_store.hold(job)
             return True
         known = self._accepted.get(name)
         if known is None:
@@ -253,7 +253,7 @@
             node_fields = records.read_node_job(value)
         except GraphRecordError as error:
             log.error("node held, its record can't be read: job=%s error=%s", job.id, error)
-            self._term.job_store.block_tasks(job)
+            self._term.job_store.hold(job)
             return True
         job.max_task_errors = node_fields.retries
         job.due_s = node_fields.due_s
--- a/tealrill/leader/job_lifecycle.py
+++ b/tealrill/leader/job_lifecycle.py
@@ -81,7 +81,7 @@
         if not any(extension.claim_job(job, value) for extension in self.extensions):
             # Its extension is disabled or can't read the record: the job is kept, but blocked.
             log.error("job blocked, its owner is unknown to this member: job=%s", job.id)
-            self._job_store.block_tasks(job)
+            self._job_store.hold(job)
         if job.cancelled:
             self.stop(job)
 
--- a/tealrill/leader/record_loader.py
+++ b/tealrill/leader/record_loader.py
@@ -132,7 +132,7 @@
         except RecordError as error:
             # Its tasks may be running on unknown machines, so no task of the job is started.
             log.error("chunk unreadable, its job is blocked: error=%s", error)
-            self._job_store.block_tasks(job)
+            self._job_store.hold(job)
             return []
 
     async def _load_ended(self, chunks: list[wire.Entry]) -> None:
--- a/tealrill/state/bindings.py
+++ b/tealrill/state/bindings.py
@@ -156,13 +156,15 @@
     """For a job whose tasks are unblocked one by one: a flag per task that has been unblocked."""
     blocked_count: int = 0
     """Number of tasks that are still blocked."""
+    held: bool = False
+    """No more of its tasks are started in this term."""
     reports_completions: bool = False
     """Other jobs wait for single tasks of this one, so each completion is written at once."""
 
     @property
     def waiting(self) -> int:
         """Number of unbound tasks that may be bound now."""
-        if self.cancelled or self.outcome != OUTCOME_DONE:
+        if self.cancelled or self.held or self.outcome != OUTCOME_DONE:
             return 0
         return self.spec.tasks - self.done_count - self.bound_count - self.blocked_count
 
--- a/tealrill/state/job_store.py
+++ b/tealrill/state/job_store.py
@@ -73,11 +73,20 @@
     def block_tasks(self, job: Job) -> None:
         """Block every task of a job until `unblock_task` is called for it.
 
-        Normally called before any of the job's chunks is loaded.
+        To be called before any of the job's chunks is loaded: a task that was bound once counts as
+        unblocked.
         """
         job.unblocked = bytearray(job.spec.tasks)
         job.blocked_count = job.spec.tasks
         job.next_unbound = job.spec.tasks
+        job.requeued.clear()
+
+    def hold(self, job: Job) -> None:
+        """Start no more tasks of a job in this term, because its records can't be read in full.
+
+        Tasks that run go on, and their completions are recorded.
+        """
+        job.held = True
 
     def unblock_task(self, job: Job, index: int) -> bool:
         """Unblock one task; return True if it was blocked."""
@@ -129,7 +138,9 @@
     # -- bindings ---------------------------------------------------------------------------
 
     def pop_unbound_task(self, job: Job) -> int | None:
-        """Remove and return the next task that is neither bound nor done; None if there is none."""
+        """Remove and return the next task that may be bound; None if there is none."""
+        if job.held:
+            return None
         while job.requeued:
             index = heapq.heappop(job.requeued)
             if self._is_unbound(job, index):
