Scale-out: a gang's tasks need their capacity at the same time

What callers would see: a gang that is accepted and never starts. A processor that can serve several short tasks one after the other within a boot counted several times, for a gang too, whose tasks start only when all of them fit. Eight tasks of 5 s and one machine with room for two: nothing was rented, in every calculation anew.

--- a/tealrill/scheduler/free_capacity.py
+++ b/tealrill/scheduler/free_capacity.py
@@ -112,6 +112,8 @@
         self._kind_numbers: list[int] = []
         self._free: list[Sequence[tuple[Monotonic, float]]] = []
         """Per machine, the processors that become free, and when."""
+        self._earliest = Monotonic(math.inf)
+        """When the first processor of all machines becomes free."""
         self._used_cpu_s: list[float] = []
         self._horizons: dict[Monotonic, _Horizon] = {}
         self.inspected = 0
@@ -123,6 +125,7 @@
         self._kind_numbers.append(number)
         self._free.append(free)
         self._used_cpu_s.append(0.0)
+        self._earliest = min(self._earliest, *(at for at, _ in free))
         for horizon in self._horizons.values():
             horizon.add(free, self._min_shares[number])
         return len(self._kind_numbers) - 1
@@ -147,7 +150,7 @@
 
         `shares` has a task's share of each kind of machine, see `_cpu_shares`. Only machines from
         number `first_number` on are used. One processor may serve several tasks one after the
-        other.
+        other, but for those of a gang.
         """
         allocated = 0
         for number, count, cpu_s in self._fits(job, limit, shares, until, first_number):
@@ -172,6 +175,9 @@
     ) -> Iterator[tuple[int, int, float]]:
         """Yield per machine on which tasks fit: its number, their count and processor seconds."""
         run_s = max(_MIN_RUN_S, job.estimate_s)
+        if job.gang:
+            # Its tasks run at the same time, so no processor serves two of them in turn.
+            run_s = max(run_s, until - self._earliest + _ROUNDING)
         horizon = self._horizon(until) if until in self._common_moments else None
         shortest: Iterable[float] = repeat(0.0, len(self._kind_numbers) - first_number)
         if horizon is not None:
--- a/tests/reference_planner.py
+++ b/tests/reference_planner.py
@@ -189,6 +189,7 @@
     capacities: list[_Capacity],
     sizes: dict[str, Offer],
     until: Monotonic,
+    run_s: float,
     allowed: dict[str, int] | None,
 ) -> int:
     """Allocate up to `limit` tasks.
@@ -196,7 +197,7 @@
     `allowed` has the number that each zone may still take; None for a job without zone rules.
     """
     if allowed is None:
-        return _allocate_in_order(job, limit, capacities, sizes, until)
+        return _allocate_in_order(job, limit, capacities, sizes, until, run_s)
     left = limit
     for zone in sorted(allowed):
         for capacity in capacities:
@@ -206,11 +207,7 @@
             if possible <= 0:
                 continue
             need = _cpu_share(job, sizes[capacity.kind[0]])
-            count = (
-                capacity.allocate(need, max(1.0, job.estimate_s), possible, until)
-                if need > 0
-                else possible
-            )
+            count = capacity.allocate(need, run_s, possible, until) if need > 0 else possible
             left -= count
             allowed[zone] -= count
             if count and job.one_zone:
@@ -219,19 +216,31 @@
 
 
 def _allocate_in_order(
-    job: JobView, limit: int, capacities: list[_Capacity], sizes: dict[str, Offer], until: Monotonic
+    job: JobView,
+    limit: int,
+    capacities: list[_Capacity],
+    sizes: dict[str, Offer],
+    until: Monotonic,
+    run_s: float,
 ) -> int:
     """Allocate up to `limit` tasks of a job without zone rules, in the order of the machines."""
     left = limit
     for capacity in capacities:
         if left > 0 and job.may_use(*capacity.kind):
             need = _cpu_share(job, sizes[capacity.kind[0]])
-            left -= (
-                capacity.allocate(need, max(1.0, job.estimate_s), left, until) if need > 0 else left
-            )
+            left -= capacity.allocate(need, run_s, left, until) if need > 0 else left
     return limit - left
 
 
+def _run_s(job: JobView, capacities: list[_Capacity], until: Monotonic) -> float:
+    """Return the run time to assume: no processor serves two tasks of a gang by `until`."""
+    run_s = max(1.0, job.estimate_s)
+    if job.gang:
+        earliest = min((at for c in capacities for at, _ in c.free), default=until)
+        run_s = max(run_s, until - earliest + 1e-4)
+    return run_s
+
+
 def _zone_limits(
     job: JobView,
     waiting: int,
@@ -244,10 +253,11 @@
     """Return how many of the waiting tasks each zone may take."""
     allowed = {zone: max(0, job.tasks_allowed_in_zone(zone)) for zone in zones}
     if job.one_zone and not any(job.zone_counts.values()):
+        run_s = _run_s(job, capacities, until)
         ranks = {}
         for zone in zones:
             trial = [c.copy() for c in capacities if c.kind[1] == zone]
-            fitting = _allocate(job, waiting, trial, sizes, until, {zone: waiting})
+            fitting = _allocate(job, waiting, trial, sizes, until, run_s, {zone: waiting})
             may_start = not job.gang or fitting >= waiting or zone in rentable
             ranks[zone] = (may_start, fitting, zone in rentable)
         allowed = {zone: waiting if ranks[zone] == max(ranks.values()) else 0 for zone in zones}
@@ -314,7 +324,8 @@
             if job.one_zone or job.spread
             else None
         )
-        left = waiting - _allocate(job, waiting, capacities, sizes, until, allowed)
+        run_s = _run_s(job, capacities, until)
+        left = waiting - _allocate(job, waiting, capacities, sizes, until, run_s, allowed)
         while left > 0:
             offers = cheap or ready
             if allowed is not None:
@@ -325,7 +336,8 @@
                 break
             capacity = _Capacity(offer.kind, [(Monotonic(now + offer.boot_s), offer.cpus)])
             until = Monotonic(now + max(wait_s, offer.boot_s))
-            allocated = _allocate(job, left, [capacity], sizes, until, allowed)
+            run_s = _run_s(job, [*capacities, capacity], until)
+            allocated = _allocate(job, left, [capacity], sizes, until, run_s, allowed)
             if allocated <= 0:
                 break
             left -= allocated
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -360,6 +360,18 @@
     }
 
 
+def test_gang_needs_all_its_capacity_at_once() -> None:
+    """Guards against a gang that never starts because few processors could serve it in turn."""
+    array = job_view("job-1", tasks=8, waiting=8, estimate_s=5.0)
+    assert _rented_by_zone(array, [machine_view("m-1")]) == {}
+    gang = job_view("job-1", tasks=8, waiting=8, estimate_s=5.0, gang=True)
+    assert sum(_rented_by_zone(gang, [machine_view("m-1")]).values()) == 3
+    assert sum(_rented_by_zone(gang, []).values()) == 4
+    soon_free = [running_task("run-1", end_at=NOW + 20.0, cpus=8.0)]
+    busy = machine_view("m-1", cpus=0.0, running=soon_free)
+    assert sum(_rented_by_zone(gang, [busy]).values()) == 3
+
+
 def test_a_zone_rule_outweighs_the_price() -> None:
     """Guards against a job that waits for cheap machines of a zone in which it may not run."""
     cheap_in_south = _zone_offers("south", spot=True, price=0.1)
