Reservation and preemption keep to the reserved job's zone rules

Reservations went to the earliest machines, more of them in a zone than a spread job may use there; a one-zone gang's were spread over zones, so that in none of them enough was kept for it, and jobs behind it filled the rest for as long as there were any. Backfilled work was stopped for tasks of a spread job that could not start there then.

`windows` counts the tasks by zone, a gang's are in one zone, and `_preempt_for` counts what the zone may still take. Jobs without a rule are planned as before. Three tests in test_scheduler fail without it: two tasks reserved in one zone, a gang's in two, four preempted instead of two.

--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 from tealrill.scheduler import preemption
 from tealrill.scheduler.model import (
@@ -296,7 +297,11 @@
         if not self._is_anything_preemptible(reserved_job, is_within_quota):
             return
         soon_at = self.now + self.policy.min_preemption_gain_s
-        available_soon = sum(w.tasks for w in self.windows.values() if w.at <= soon_at)
+        soon_by_zone: Counter[str] = Counter()
+        for machine, window in self.windows.items():
+            if window.at <= soon_at:
+                soon_by_zone[machine.zone] += window.tasks
+        available_soon = soon_by_zone.total()
         still_needed = (
             min(self._tasks_within_limit(reserved_job), self.policy.max_reserved_tasks)
             - available_soon
@@ -308,7 +313,9 @@
         while still_needed > 0:
             preempted = preemption.choose_preemption(
                 reserved_job,
-                machines,
+                [m for m in machines if _may_take_another(reserved_job, m.zone, soon_by_zone)]
+                if reserved_job.has_zone_rules
+                else machines,
                 self.view.teams,
                 already_preempted,
                 is_within_quota,
@@ -324,9 +331,17 @@
                 self.plan.stops.append(StopTask(task.task, reserved_job.id, grace_s))
                 preempted.machine.release_task(task)
             preempted.machine.allocate_task(reserved_job)
+            soon_by_zone[preempted.machine.zone] += 1
             still_needed -= 1
 
 
+def _may_take_another(job: JobView, zone: str, soon_by_zone: Counter[str]) -> bool:
+    """Return True if the zone rules allow a task more than those that can start soon by zone."""
+    if job.one_zone and any(n for other, n in soon_by_zone.items() if other != zone):
+        return False
+    return job.tasks_allowed_in_zone(zone) > soon_by_zone[zone]
+
+
 def plan(view: View, now: Monotonic, policy: Policy) -> Plan:
     """Plan one pass. It consumes the view: its capacities and counts are changed."""
     return _Pass(view, now, policy).run()
--- a/tealrill/scheduler/reservation.py
+++ b/tealrill/scheduler/reservation.py
@@ -97,23 +97,22 @@
     if wanted <= 0:
         return {}
     fits: list[RankedFit] = []
-    latest_starts: list[float] = []
-    """A heap of the earliest moments so far, at most one per task, negated so that the latest is on
-    top."""
-    before = Monotonic(math.inf)
+    latest_starts: dict[str, list[float]] = {}
+    """Heaps of the earliest moments so far, at most one per task, negated so that the latest is on
+    top. One for all machines, or one per zone if the zones limit how many tasks each may take."""
     for number, machine in enumerate(machines):
         if not machine.allows(job) or job.tasks_allowed_in_zone(machine.zone) <= 0:
             continue
+        latest = latest_starts.setdefault(machine.zone if job.has_zone_rules else "", [])
+        before = Monotonic(-latest[0] if len(latest) == wanted else math.inf)
         fit = earliest_fit(job, machine, now, before)
         if fit is None:
             continue
         fits.append((fit[0], number, machine, fit[1:]))
-        if len(latest_starts) < wanted:
-            heapq.heappush(latest_starts, -fit[0])
+        if len(latest) < wanted:
+            heapq.heappush(latest, -fit[0])
         else:
-            heapq.heappushpop(latest_starts, -fit[0])
-        if len(latest_starts) == wanted:
-            before = Monotonic(-latest_starts[0])
+            heapq.heappushpop(latest, -fit[0])
     return windows(job, fits, wanted)
 
 
@@ -122,15 +121,42 @@
     fits: list[RankedFit],
     limit: int,
 ) -> dict[MachineView, Window]:
-    """Return reservations on the earliest machines until `limit` tasks are covered."""
+    """Return reservations on the earliest machines until `limit` tasks are covered.
+
+    No zone gets more of them than the job's zone rules allow. A gang without bound tasks that must
+    stay in one zone gets all of them in the zone that covers the most tasks, the earliest of these.
+    (The tasks of an array start one by one, and the first of them decides on the zone.)
+    """
     fits.sort()
+    if not (job.gang and job.one_zone) or any(job.zone_counts.values()):
+        return _earliest_windows(job, fits, limit)
+    by_zone = [
+        _earliest_windows(job, [fit for fit in fits if fit[2].zone == zone], limit)
+        for zone in sorted({fit[2].zone for fit in fits})
+    ]
+
+    def rank(reserved: dict[MachineView, Window]) -> tuple[int, float]:
+        tasks = sum(window.tasks for window in reserved.values())
+        return tasks, -max(window.at for window in reserved.values())
+
+    return max(by_zone, key=rank, default={})
+
+
+def _earliest_windows(job: JobView, fits: list[RankedFit], limit: int) -> dict[MachineView, Window]:
+    """Return reservations on the machines of `fits`, in this order and as the zone rules allow."""
     reserved: dict[MachineView, Window] = {}
+    tasks_by_zone: dict[str, int] = {}
     left = limit
     for at, _, machine, (cpus, gpus, memory) in fits:
         if left <= 0:
             break
-        tasks = min(left, slots(job, cpus, gpus, memory))
+        in_zone = tasks_by_zone.get(machine.zone, 0)
+        allowed = min(left, job.tasks_allowed_in_zone(machine.zone) - in_zone)
+        tasks = min(allowed, slots(job, cpus, gpus, memory))
+        if tasks <= 0:
+            continue
         left -= tasks
+        tasks_by_zone[machine.zone] = in_zone + tasks
         reserved[machine] = Window(
             at,
             tasks,
--- a/tests/reference_planner.py
+++ b/tests/reference_planner.py
@@ -69,7 +69,8 @@
         team = self.view.teams.get(reserved_job.team)
         is_within_quota = team is not None and team.is_within_quota(reserved_job)
         soon = self.now + self.policy.min_preemption_gain_s
-        upcoming_tasks = sum(w.tasks for w in self.windows.values() if w.at <= soon)
+        soon_windows = [(m.zone, w.tasks) for m, w in self.windows.items() if w.at <= soon]
+        upcoming_tasks = sum(tasks for _, tasks in soon_windows)
         wanted = (
             min(self._tasks_within_limit(reserved_job), self.policy.max_reserved_tasks)
             - upcoming_tasks
@@ -79,9 +80,15 @@
         already_preempted: set[RunningTask] = set()
         machines = self._usable(reserved_job, self.ready)
         while wanted > 0:
+            zones = [zone for zone, tasks in soon_windows for _ in range(tasks)]
             preempted = choose_preemption(
                 reserved_job,
-                machines,
+                [
+                    m
+                    for m in machines
+                    if reserved_job.tasks_allowed_in_zone(m.zone) > zones.count(m.zone)
+                    and not (reserved_job.one_zone and set(zones) - {m.zone})
+                ],
                 self.view.teams,
                 already_preempted,
                 is_within_quota,
@@ -97,6 +104,7 @@
                 self.plan.stops.append(StopTask(task.task, reserved_job.id, grace_s))
                 preempted.machine.release_task(task)
             preempted.machine.allocate_task(reserved_job)
+            soon_windows.append((preempted.machine.zone, 1))
             wanted -= 1
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -372,6 +372,66 @@
     assert sum(_rented_by_zone(gang, [busy]).values()) == 3
 
 
+def _reserved_tasks(job: JobView, machines: list[MachineView]) -> dict[str, int]:
+    reservations = plan(View(machines, [job], {}), NOW, Policy()).reservations
+    return {str(machine): found.tasks for machine, found in reservations.items()}
+
+
+def _busy_machine(name: str, zone: str, end_s: float) -> MachineView:
+    running = [running_task(f"run-{name[-1]}", end_at=NOW + end_s, cpus=8.0)]
+    return machine_view(name, zone=zone, cpus=0.0, running=running)
+
+
+def test_reservations_keep_to_the_zone_rules() -> None:
+    """Guards against reserved capacity that a job's zone rules don't let it use."""
+    machines = [
+        _busy_machine("m-1", "north", 10.0),
+        _busy_machine("m-2", "north", 20.0),
+        _busy_machine("m-3", "south", 30.0),
+        _busy_machine("m-4", "south", 40.0),
+    ]
+    spread = job_view("job-1", spread=True, tasks=4, waiting=4, cpus=8.0)
+    assert _reserved_tasks(spread, machines) == {"m-1": 1, "m-2": 1, "m-3": 1, "m-4": 1}
+    two = job_view("job-1", spread=True, tasks=2, waiting=2, cpus=8.0)
+    assert _reserved_tasks(two, machines) == {"m-1": 1, "m-3": 1}
+
+
+def test_reservation_of_a_one_zone_gang_is_in_one_zone() -> None:
+    """Guards against a gang whose reservations in several zones are never enough in any of them."""
+    machines = [
+        _busy_machine("m-1", "north", 10.0),
+        _busy_machine("m-2", "south", 20.0),
+        _busy_machine("m-3", "south", 30.0),
+        _busy_machine("m-4", "north", 40.0),
+    ]
+    gang = job_view("job-1", one_zone=True, gang=True, tasks=2, waiting=2, cpus=8.0)
+    assert _reserved_tasks(gang, machines) == {"m-2": 1, "m-3": 1}
+    large = job_view("job-1", one_zone=True, gang=True, tasks=3, waiting=3, cpus=8.0)
+    assert _reserved_tasks(large, [*machines, _busy_machine("m-5", "north", 50.0)]) == {
+        "m-1": 1, "m-4": 1, "m-5": 1,
+    }  # fmt: skip
+
+
+def test_no_more_is_preempted_than_the_zone_rules_let_start() -> None:
+    """Guards against work that is stopped for tasks which may not run in that zone."""
+
+    def stopped(**fields: object) -> int:
+        machines = [
+            machine_view(
+                f"m-{number}",
+                cpus=0.0,
+                running=[running_task(f"run-{number}", cpus=8.0, backfilled=True, rank=0)],
+            )
+            for number in range(8)
+        ]
+        job = job_view("job-1", tasks=4, waiting=4, cpus=8.0, rank=2, **fields)
+        return len(plan(View(machines, [job], {}), NOW, Policy(max_preempted_share=1.0)).stops)
+
+    assert stopped() == 4
+    assert stopped(spread=True) == 2
+    assert stopped(spread=True, zone_counts={"north": 1}) == 1
+
+
 def test_a_zone_rule_outweighs_the_price() -> None:
     """Guards against a job that waits for cheap machines of a zone in which it may not run."""
     cheap_in_south = _zone_offers("south", spot=True, price=0.1)
