Log why a job's tasks wait, once a change

Every 5 s the 20 oldest jobs with waiting tasks that were submitted over a minute ago are compared with the pass that has just ended, and a new reason is logged: held, probation, unknown zones, the team's limit, zone rules, kept capacity, booting or rentable machines, none at the cloud. docs/operate/log-lines.md has the lines and reasons.

--- a/tealrill/fleet/autoscaling.py
+++ b/tealrill/fleet/autoscaling.py
@@ -86,7 +86,7 @@
                 self.rental_deferred = True
                 return
         self._next_rental_at = Monotonic(now + RENT_INTERVAL_S)
-        available = self._available(now)
+        available = self.available(now)
         if all(self._provisioner.has_pending_request(offer.kind) for offer in available):
             # No kind can be requested before its pending requests are answered, so the expensive
             # calculation below would have no effect.
@@ -106,7 +106,7 @@
         for rental in rentals:
             self._provisioner.rent(rental, now)
 
-    def _available(self, now: Monotonic) -> list[Offer]:
+    def available(self, now: Monotonic) -> list[Offer]:
         """Return the offers that are neither in capacity back-off nor in a partitioned zone.
 
         A machine in a partitioned zone is charged but gets no tasks. Without this filter such a
@@ -131,7 +131,7 @@
         pending_cpus: dict[str, float] = {}
         for rental in self._provisioner.pending_rentals():
             pending_cpus[rental.type] = pending_cpus.get(rental.type, 0.0) + self._cpus(rental)
-        available = [o for o in self._available(now) if not self._is_expensive(o.type, o.spot)]
+        available = [o for o in self.available(now) if not self._is_expensive(o.type, o.spot)]
         for type_name, cpus in replacement_capacity.items():
             offers = [o for o in available if o.type == type_name and o.cpus > 0]
             missing = cpus - pending_cpus.get(type_name, 0.0)
--- a/tealrill/fleet/dispatch.py
+++ b/tealrill/fleet/dispatch.py
@@ -11,6 +11,7 @@
 from tealrill.fleet.placement import Placement
 from tealrill.fleet.provisioning import Provisioner
 from tealrill.fleet.snapshot import SnapshotBuilder
+from tealrill.fleet.waiting_jobs import WaitingJobs
 from tealrill.scheduler.estimates import Estimates
 from tealrill.scheduler.failure_detector import Diagnosis
 from tealrill.scheduler.model import Plan, Policy
@@ -47,6 +48,7 @@
         )
         self.placement = Placement(job_store, fleet, self.snapshots.run_s, command_now)
         self.autoscaler = Autoscaler(fleet, provisioner, params, self._policy, diagnosis)
+        self._waiting_jobs = WaitingJobs(job_store, fleet, self.autoscaler.available)
 
     def run(self, now: Monotonic, wall: Wall) -> None:
         """Run one pass."""
@@ -59,4 +61,5 @@
         self.autoscaler.rent(result, view, now)
         self.placement.save_before_preemption(now)
         self.autoscaler.release_unneeded(result, view, now)
+        self._waiting_jobs.log_changes(result, view, now, wall)
         result.release_view()
