Tools: patterns over logs are held against the program's own lines

tools/margins.py looked for confirmations in modules named "...intake"; none is any more, so it reported no cancelled job, on any log. The module is imported now, a log without any controller's line ends with status 2, and so does one whose leader learnt of cancellations that nobody confirmed. tools/falls.py and margins had a pattern for lines each; tools/controller_log.py is the one. graph_cost printed "changes beside those of the users" of a count that has them. tools/served.py fails for a deadline that it can't read instead of leaving its column empty.

Looked at besides: tools/profiles.py (already an error without a profile line) and profiling.py (names are imported).

--- a/tools/falls.py
+++ b/tools/falls.py
@@ -24,6 +24,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from tools.controller_log import read_lines
 from tools.variants import render_day
 
 _FAULT_AT_S: Final = 200.0
@@ -171,7 +172,6 @@
     """Highest cost of the fleet an hour, relative to the mean before the failure."""
 
 
-_LINE: Final = re.compile(r"\s*([\d.]+) \S+ \w [\w.]+: (.*)")
 _SUSPECTED: Final = re.compile(r"machines suspected: count=\d+ suspicion=\w+ new=(\d+)")
 _DETECTED_MACHINES: Final = 5
 """Machines lost until a mass failure counts as detected; single ones are lost at any time."""
@@ -181,13 +181,16 @@
 
 
 def measure_recovery(report: DayReport, log: str, at_s: float) -> Recovery:
-    """Evaluate the report and the log of a day whose mass failure began at `at_s`."""
+    """Evaluate the report and the log of a day whose mass failure began at `at_s`.
+
+    Raises `click.UsageError` for a log without a controller's line.
+    """
     detected_at = lease_expired_at = first_granted_at = None
     granted = requested = detected = 0
-    for match in map(_LINE.match, log.splitlines()):
-        if match is None or not at_s <= float(match[1]) <= at_s + _AFTER_S:
+    for line in read_lines(log.splitlines()):
+        if not at_s <= line.at_s <= at_s + _AFTER_S:
             continue
-        after_s, text = float(match[1]) - at_s, match[2]
+        after_s, text = line.at_s - at_s, line.text
         detected += _newly_detected(text)
         if detected_at is None and detected >= _DETECTED_MACHINES:
             detected_at = after_s
--- a/tools/graph_cost.py
+++ b/tools/graph_cost.py
@@ -362,7 +362,7 @@
         await client.submit(graph)
         took_s, change_count = time.perf_counter() - began, state.changes - changes_before
         click.echo(
-            f"accepted after {took_s:.1f} s, {change_count} changes beside those of the users"
+            f"accepted after {took_s:.1f} s, {change_count} changes, those of the users included"
         )
         while (await _read_state(operator)).get("graphs", {}).get("fam1") is None:
             await asyncio.sleep(0.05)
--- a/tools/margins.py
+++ b/tools/margins.py
@@ -20,9 +20,10 @@
 
 import click
 
-_LINE: Final = re.compile(
-    r"^\s*(?P<at>\d+\.\d+)\s+(?P<host>\S+)\s+[DIWE] (?P<module>\S+): (?P<text>.*)$"
-)
+from tealrill.state import admission
+from tools.controller_log import read_lines
+
+_CONFIRMING_MODULE: Final = admission.__name__
 _CONFIRMED: Final = re.compile(r"^job (\S+) cancelled")
 _RELEASED: Final = re.compile(r"^task (\S+)/\d+ released from \S+: (.*)$")
 _LEADER_INFORMED: Final = re.compile(r"^job (\S+) was cancelled; (\d+) of its tasks are bound")
@@ -46,23 +47,30 @@
 
 
 def read(lines: Iterable[str]) -> dict[str, CancelledJob]:
-    """Return the jobs that a controller confirmed as cancelled, in order of confirmation."""
+    """Return the jobs that a controller confirmed as cancelled, in order of confirmation.
+
+    Raises `click.UsageError` for a log without a controller's line, and for one in which the leader
+    learnt of cancellations that nobody confirmed: it lacks lines, or has lines of another version.
+    """
     jobs: dict[str, CancelledJob] = {}
-    for line in lines:
-        fields = _LINE.match(line)
-        if fields is None:
-            continue
-        at, text = float(fields["at"]), fields["text"]
-        if fields["module"].endswith("intake") and (match := _CONFIRMED.match(text)):
-            jobs.setdefault(match[1], CancelledJob(at, fields["host"]))
-        elif match := _LEADER_INFORMED.match(text):
+    cancellations = 0
+    for line in read_lines(lines):
+        if line.module == _CONFIRMING_MODULE and (match := _CONFIRMED.match(line.text)):
+            jobs.setdefault(match[1], CancelledJob(line.at_s, line.host))
+        elif match := _LEADER_INFORMED.match(line.text):
+            cancellations += 1
             job = jobs.get(match[1])
             if job is not None and job.leader_informed_at is None:
-                job.leader_informed_at, job.bound_tasks = at, int(match[2])
-        elif (match := _RELEASED.match(text)) and match[1] in jobs:
+                job.leader_informed_at, job.bound_tasks = line.at_s, int(match[2])
+        elif (match := _RELEASED.match(line.text)) and match[1] in jobs:
             job, proof = jobs[match[1]], match[2].partition(",")[0]
-            job.ended_at = at
+            job.ended_at = line.at_s
             job.proofs[proof] = job.proofs.get(proof, 0) + 1
+    if cancellations and not jobs:
+        raise click.UsageError(
+            f"{cancellations} cancellations reached the leader, and no line of "
+            f"{_CONFIRMING_MODULE} confirms one"
+        )
     return jobs
 
 
@@ -118,6 +126,8 @@
                 jobs = read(lines)
         except OSError as error:
             raise click.UsageError(f"{log}: {error.strerror}") from None
+        except click.UsageError as error:
+            raise click.UsageError(f"{log}: {error.message}") from None
         click.echo(f"{log.name}: {summarize(jobs, cancel_s, most)}")
 
 
--- a/tools/served.py
+++ b/tools/served.py
@@ -23,6 +23,7 @@
 from rich.table import Table
 
 _MAX_CPU_S: Final = 400.0
+_FIRST_DEADLINE: Final = ("deadline ", " 1x: ")
 _DEADLINE: Final = re.compile(r"deadline (\S+) 1x: ([\d.]+) ")
 
 
@@ -96,6 +97,8 @@
         served = [(share, name) for name, _, share in day.served]
         deadlines = (_DEADLINE.match(text) for text, _ in day.aims)
         in_time = [(float(match[2]), match[1]) for match in deadlines if match is not None]
+        if not in_time and any(_is_first_deadline(text) for text, _ in day.aims):
+            raise click.UsageError(f"{entry.id}: no deadline of {day.name} could be read")
         yield Row(
             entry.id,
             entry.site,
@@ -107,6 +110,11 @@
         )
 
 
+def _is_first_deadline(aim: str) -> bool:
+    start, middle = _FIRST_DEADLINE
+    return aim.startswith(start) and middle in aim
+
+
 def _invalid_reason(day: DayResult, cpu_s: float) -> str:
     if day.rules:
         return "rule broken: " + ", ".join(sorted(day.rules))
