--- a/tealrill/leadership/election.py
+++ b/tealrill/leadership/election.py
@@ -24,6 +24,12 @@
 
 from tealrill import wire
 from tealrill.change_log import ChangeLog
+from tealrill.leadership.leader_record import (
+    Candidate,
+    LeaderRecord,
+    UnconfirmedCampaign,
+    names_its_writer,
+)
 from tealrill.state.client import (
     Committed,
     OutcomeUnknownError,
@@ -86,13 +92,6 @@
     """Revision of the leader's key."""
 
 
-class _LeaderRecord(msgspec.Struct, frozen=True):
-    """The fields of the leader's record that other members need."""
-
-    host: str
-    term: int
-
-
 class _LeaderlessObservation(NamedTuple):
     """The first observation that there is no leader."""
 
@@ -109,18 +108,6 @@
     changes: list[dict[str, Any]]
 
 
-class _UnconfirmedCampaign(NamedTuple):
-    """A campaign whose transaction got no answer, so that its outcome is unknown.
-
-    Its lease must not be ended as long as the term may still begin.
-    """
-
-    term: FencingToken
-    lease: LeaseId
-    lease_requested_at: Monotonic
-    """When the request that created the lease was sent."""
-
-
 async def _always_false() -> bool:
     return False
 
@@ -177,11 +164,11 @@
 
         The transaction may still be executed at any later time.
         """
-        self._unconfirmed: _UnconfirmedCampaign | None = None
+        self._unconfirmed: UnconfirmedCampaign | None = None
         """The campaign to be resolved before the next one; see `_resolve`."""
         self._lease_ends: set[Task[None]] = set()
         """Requests in flight that end leases of failed campaigns."""
-        self._incarnation = secrets.token_hex(8)
+        self._candidate = Candidate(host, secrets.token_hex(8))
         self._changed = changed
         self._campaign_not_before = Monotonic(0.0)
         self._is_pause_ended = False
@@ -333,13 +320,13 @@
 
         That process has ended, so it can't act on the key any more.
         """
-        if type(holder.get("term")) is not int or type(holder.get("incarnation")) is not str:
+        if not names_its_writer(holder):
             self._unreadable.error(
                 f"unreadable record: key={entry.key} revision={entry.version} "
                 "error=own key without a term or an incarnation"
             )
         reelections = consecutive_reelections(holder, wall_now())
-        if holder.get("incarnation") == self._incarnation:
+        if holder.get("incarnation") == self._candidate.incarnation:
             await self._delete_own_key(entry)
         elif reelections > _MAX_QUICK_REELECTIONS and await self.any_peer_answers():
             # The process ends repeatedly, perhaps because it leads. Re-elected at once each time,
@@ -357,7 +344,7 @@
         The leader's key is left alone in that case; it is deleted when its lease expires.
         """
         try:
-            record = msgspec.convert(entry.value, _LeaderRecord)
+            record = msgspec.convert(entry.value, LeaderRecord)
         except msgspec.ValidationError as error:
             self._unreadable.error(
                 f"unreadable record: key={entry.key} revision={entry.version} error={error}"
@@ -410,7 +397,7 @@
         try:
             revision = await self._commit(candidacy)
         except OutcomeUnknownError:
-            self._unconfirmed = _UnconfirmedCampaign(candidacy.term, lease, sent)
+            self._unconfirmed = UnconfirmedCampaign(candidacy.term, lease, sent)
             await self._resolve(self._unconfirmed)
             return
         if revision is None:
@@ -439,14 +426,7 @@
     ) -> _Candidacy:
         """Return the transaction that elects this node for the term after `last`."""
         term = FencingToken((last.value if last is not None else 0) + 1)
-        value = {
-            "host": self._host,
-            "incarnation": self._incarnation,
-            "term": term,
-            "at": wall_now(),
-            "again": reelections,
-            "revocable": True,
-        }
+        value = self._candidate.record(term, wall_now(), reelections)
         guards = [
             wire.guard(LEADER_KEY, mod_revision),
             wire.guard(TERM_KEY, last.version if last is not None else ABSENT),
@@ -477,21 +457,20 @@
                 await self._readmit_itself()
         return None
 
-    async def _resolve(self, campaign: _UnconfirmedCampaign) -> None:
+    async def _resolve(self, campaign: UnconfirmedCampaign) -> None:
         """Begin the term of an unconfirmed campaign if the leader's key shows that it succeeded.
 
-        The key must have the lease of this campaign: an earlier campaign for the same term may have
-        been executed late, and the key would then end with the lease of that one. Once the validity
-        that the lease had from the beginning has passed, the lease must be renewed first: if it can
-        be, it has never ended and the key has existed all the time, as in `_renew_lease`. Until
-        then `_campaign_term` keeps this node from granting extensions to leaders of earlier terms.
+        Once the validity that the lease had from the beginning has passed, the lease must be
+        renewed first: if it can be, it has never ended and the key has existed all the time, as in
+        `_renew_lease`. Until then `_campaign_term` keeps this node from granting extensions to
+        leaders of earlier terms.
 
         Raises `StateError` if the outcome remains unknown.
         """
         entry = await self._client.get(LEADER_KEY)
         if self._unconfirmed is not campaign:
             return
-        if entry is None or not self._is_elected_by(campaign, entry):
+        if entry is None or not campaign.is_won(self._candidate, entry):
             self._unconfirmed = None
             self._end_lease_in_background(campaign.lease)
             return
@@ -527,18 +506,6 @@
         self._lease_ends.add(task)
         task.add_done_callback(self._lease_ends.discard)
 
-    def _is_elected_by(self, campaign: _UnconfirmedCampaign, entry: wire.KeyValue) -> bool:
-        """Return True if the transaction of this campaign has set the leader's key."""
-        value = entry.value
-        return (
-            isinstance(value, dict)
-            and value.get("host") == self._host
-            and value.get("incarnation") == self._incarnation
-            and type(value.get("term")) is int
-            and value["term"] == campaign.term
-            and entry.lease == campaign.lease
-        )
-
     async def _readmit_itself(self) -> None:
         """Readmit this excluded host after `READMISSION_DELAY_S` without a leader.
 
--- a/tests/test_unconfirmed_campaigns.py
+++ b/tests/test_unconfirmed_campaigns.py
@@ -24,6 +24,7 @@
 from tealrill import wire
 from tealrill.leadership import election as election_module
 from tealrill.leadership.election import LEASE_TTL_S, TERM_KEY, Election
+from tealrill.leadership.leader_record import Candidate, UnconfirmedCampaign
 from tealrill.state.client import (
     Committed,
     GuardsFailed,
@@ -414,16 +415,11 @@
 
 def _any_lease(patch: pytest.MonkeyPatch) -> None:
     """The key counts as won by this campaign whichever lease it has."""
-    original = Election._is_elected_by
 
-    def is_elected_by(self: Election, campaign: Any, entry: wire.KeyValue) -> bool:
-        return original(
-            self,
-            campaign,
-            wire.KeyValue(value=entry.value, version=entry.version, lease=campaign.lease),
-        )
+    def is_won(self: UnconfirmedCampaign, candidate: Candidate, entry: wire.KeyValue) -> bool:
+        return candidate.has_written(entry.value, self.term)
 
-    patch.setattr(Election, "_is_elected_by", is_elected_by)
+    patch.setattr(UnconfirmedCampaign, "is_won", is_won)
 
 
 def _no_renewal(patch: pytest.MonkeyPatch) -> None:
