Simulation: a long job gets no more time than the quiet period

So jobs of over 60 s were checked later than before (a job of 120 s after 210 s instead of 150), a check made weaker without a trace.

--- a/tealrill/simulation/scenario.py
+++ b/tealrill/simulation/scenario.py
@@ -38,7 +38,7 @@
         fault_period_s: How long jobs arrive and, without a `scenario`, faults are drawn; seconds.
         scenario: Injects the faults of the run; by default they are drawn from the seed.
         quiet_s: Length of the quiet period, in seconds; longer for a job whose tasks have to run
-            one after the other. Unfinished jobs count as violations only if it is at least
+            in two turns. Unfinished jobs count as violations only if it is at least
             `RESPONSE_DEADLINE_S`, since a shorter one leaves them too little time.
         stop_on: The run ends once this invariant is violated.
     """
@@ -90,13 +90,14 @@
 async def _check_completions(cluster: SimulatedCluster, quiet_s: float) -> None:
     """Record the accepted jobs that have not completed, each when its time in quiet is over.
 
-    That is `quiet_s`, or the time of a placement and of the task runs that the job's zone rules
-    require one after the other, if that is longer.
+    That is `quiet_s`. A job whose zone rules require its tasks to run in two turns has the time of
+    a placement and of both turns, if that is longer.
     """
 
     def completion_deadline_s(job: UserJob) -> float:
-        run_s = cluster.descriptions[job.id].run_s * _consecutive_runs(job)
-        return max(quiet_s, PLACEMENT_DEADLINE_S + run_s)
+        if not _runs_in_two_turns(job):
+            return quiet_s
+        return max(quiet_s, PLACEMENT_DEADLINE_S + 2 * cluster.descriptions[job.id].run_s)
 
     expected = [job for job in cluster.jobs.values() if job.accepted and not job.cancel_requested]
     for job in sorted(expected, key=completion_deadline_s):
@@ -107,10 +108,10 @@
             cluster.record_violation("left", f"{job.id} was accepted and has not completed")
 
 
-def _consecutive_runs(job: UserJob) -> int:
-    """Return how many times a task must run after another one: 2 if one zone may have only half."""
+def _runs_in_two_turns(job: UserJob) -> bool:
+    """Return True if the job may use a single zone, which may have only half of its tasks."""
     body = job.body
-    return 2 if body["scatter"] and body["hall"] is not None and body["pieces"] > 1 else 1
+    return bool(body["scatter"] and body["hall"] is not None and body["pieces"] > 1)
 
 
 async def _cancel_all_tasks(cluster: SimulatedCluster) -> None:
