Waiting jobs, gangs and lease requests, read once more

- A held job that its user had cancelled was still logged as waiting while a task of it was bound.
Test, red without the change.
- When the first processor becomes free is worked out for a gang alone, not with every machine added.
- Requests for a lease that are still in flight are cancelled however the campaign's step ends, not only when another one is answered.

--- a/tealrill/fleet/waiting_jobs.py
+++ b/tealrill/fleet/waiting_jobs.py
@@ -86,7 +86,8 @@
         offers = self._offers(now)
 
         def waits_long(job: Job) -> bool:
-            return (job.waiting > 0 or job.held) and wall - job.submitted >= _LONG_WAIT_S
+            is_held = job.held and not job.cancelled
+            return (job.waiting > 0 or is_held) and wall - job.submitted >= _LONG_WAIT_S
 
         for job in islice(filter(waits_long, self._job_store.jobs.values()), _MAX_JOBS):
             job_view = queued.get(job.id)
--- a/tealrill/leadership/election.py
+++ b/tealrill/leadership/election.py
@@ -414,17 +414,18 @@
         A lease that is not used expires by itself.
         """
         pending = {create_task(self._client.create_lease(LEASE_TTL_S))}
-        done, _ = await wait(pending, timeout=_SECOND_REQUEST_S)
-        if not done:
-            pending.add(create_task(self._client.create_lease(LEASE_TTL_S)))
-        while True:
-            done, pending = await wait(pending, return_when=FIRST_COMPLETED)
-            created = [request for request in done if request.exception() is None]
-            if created or not pending:
-                break
-        for request in pending:
-            request.cancel()
-        return (created or list(done))[0].result()
+        try:
+            done, _ = await wait(pending, timeout=_SECOND_REQUEST_S)
+            if not done:
+                pending.add(create_task(self._client.create_lease(LEASE_TTL_S)))
+            while True:
+                done, pending = await wait(pending, return_when=FIRST_COMPLETED)
+                created = [request for request in done if request.exception() is None]
+                if created or not pending:
+                    return (created or list(done))[0].result()
+        finally:
+            for request in pending:
+                request.cancel()
 
     async def _wait_for_turn(self, mod_revision: Revision) -> bool:
         """Let other members campaign first where they should; return True to campaign now."""
--- a/tealrill/scheduler/free_capacity.py
+++ b/tealrill/scheduler/free_capacity.py
@@ -112,8 +112,6 @@
         self._kind_numbers: list[int] = []
         self._free: list[Sequence[tuple[Monotonic, float]]] = []
         """Per machine, the processors that become free, and when."""
-        self._earliest = Monotonic(math.inf)
-        """When the first processor of all machines becomes free."""
         self._used_cpu_s: list[float] = []
         self._horizons: dict[Monotonic, _Horizon] = {}
         self.inspected = 0
@@ -125,7 +123,6 @@
         self._kind_numbers.append(number)
         self._free.append(free)
         self._used_cpu_s.append(0.0)
-        self._earliest = min(self._earliest, *(at for at, _ in free))
         for horizon in self._horizons.values():
             horizon.add(free, self._min_shares[number])
         return len(self._kind_numbers) - 1
@@ -177,7 +174,7 @@
         run_s = max(_MIN_RUN_S, job.estimate_s)
         if job.gang:
             # Its tasks run at the same time, so no processor serves two of them in turn.
-            run_s = max(run_s, until - self._earliest + _ROUNDING)
+            run_s = max(run_s, until - self._earliest_free() + _ROUNDING)
         horizon = self._horizon(until) if until in self._common_moments else None
         shortest: Iterable[float] = repeat(0.0, len(self._kind_numbers) - first_number)
         if horizon is not None:
@@ -200,6 +197,10 @@
                 left -= count
                 yield number, count, count * need * run_s
 
+    def _earliest_free(self) -> Monotonic:
+        """Return when the first processor of all machines becomes free."""
+        return min((at for free in self._free for at, _ in free), default=Monotonic(math.inf))
+
     def _machine_slots(
         self, number: int, need: float, run_s: float, until: Monotonic, horizon: _Horizon | None
     ) -> int:
--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -102,6 +102,23 @@
         assert _waits(caplog) == ["job waits no longer: job=wk-000001"]
 
 
+def test_cancelled_job_with_a_bound_task_does_not_wait(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a held job that is said to wait after its user has cancelled it."""
+    loop, fleet, store, _ = build_scheduling_loop()
+    job = store.add(spec(id="wk-000001", pieces=2), Wall(0.0), Revision(1))
+    chunk = {"n": 2, "tasks": [[2, "m-000001", 1, 1, 0, 5], 0]}
+    fleet.inherit(store.load(job, 0, chunk, Revision(3)), Monotonic(0.0))
+    store.hold(job)
+    with caplog.at_level(logging.INFO):
+        loop.run(Monotonic(70.0), Wall(70.0))
+        assert "reason=records_unreadable" in _waits(caplog)[0]
+        store.cancel(job)
+        assert job.bound_count == 1
+        loop.run(Monotonic(80.0), Wall(80.0))
+        loop.run(Monotonic(90.0), Wall(90.0))
+    assert _waits(caplog) == ["job waits no longer: job=wk-000001"]
+
+
 def test_team_limit_is_a_reason(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a job at its team's limit that looks like one without machines."""
     loop, _, store, _ = build_scheduling_loop()
