Placement: a one-zone gang goes to the zone where all of it fits

Found on reading the zone rules once more: the two sides still disagreed for gangs. Placement chose the zone with the most free processors, scale-out the one that fits the most tasks. Three machines with 7 free processors in north and two with 8 in south, and a gang of four tasks of 4: placement tried north, where three fit, and started nothing; scale-out found room for all four in south and rented nothing. So it would have waited for as long as that room was there.

A gang's zone is the one that fits the most tasks on machines that are not reserved; arrays choose as before. test_one_zone_gang_starts_in_the_zone_where_all_of_it_fits fails without it.

--- a/tealrill/scheduler/plan.py
+++ b/tealrill/scheduler/plan.py
@@ -162,7 +162,7 @@
         if job.one_zone and not any(job.zone_counts.values()):
             # Only machines whose capacity is not reserved count: otherwise the job might be bound
             # to a zone where it has to wait, although it could start in the other one.
-            fitting = self._best_zone([m for m in fitting if self._may_start(job, m)])
+            fitting = self._best_zone(job, [m for m in fitting if self._may_start(job, m)])
         fitting.sort(
             key=lambda m: (m.is_expensive, m.size, job.image not in m.images, m.cpus, m.id)
         )
@@ -179,15 +179,18 @@
             return machines
         return [m for m in machines if not m.is_expensive]
 
-    @staticmethod
-    def _best_zone(machines: list[MachineView]) -> list[MachineView]:
-        """Return the machines of the zone with the most free processors, for a one-zone job."""
-        free_cpus_by_zone: dict[str, float] = {}
+    def _best_zone(self, job: JobView, machines: list[MachineView]) -> list[MachineView]:
+        """Return the machines of the zone with the most free processors, for a one-zone job.
+
+        For a gang, which starts only if all of it fits, that is the zone that fits the most tasks.
+        """
+        capacity_by_zone: dict[str, tuple[int, float]] = {}
         for machine in machines:
-            free_cpus_by_zone[machine.zone] = (
-                free_cpus_by_zone.get(machine.zone, 0.0) + machine.cpus
-            )
-        best = max(free_cpus_by_zone, key=lambda zone: free_cpus_by_zone[zone], default=None)
+            tasks, cpus = capacity_by_zone.get(machine.zone, (0, 0.0))
+            if job.gang and machine not in self.windows:
+                tasks += slots(job, machine.cpus, machine.gpus, machine.memory_gb)
+            capacity_by_zone[machine.zone] = tasks, cpus + machine.cpus
+        best = max(capacity_by_zone, key=lambda zone: capacity_by_zone[zone], default=None)
         return [m for m in machines if m.zone == best]
 
     def _may_start(self, job: JobView, machine: MachineView) -> bool:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -412,6 +412,21 @@
     }  # fmt: skip
 
 
+def test_one_zone_gang_starts_in_the_zone_where_all_of_it_fits() -> None:
+    """Guards against a gang that waits for the zone with the most free processors, in fragments.
+
+    Nothing is rented for it either, since all of it fits in the other zone.
+    """
+    machines = [
+        *(machine_view(f"m-{n}", cpus=7.0) for n in range(3)),
+        *(machine_view(f"m-{n}", zone="south") for n in range(3, 5)),
+    ]
+    gang = job_view("job-1", one_zone=True, gang=True, tasks=4, waiting=4, estimate_s=60.0)
+    assert _rented_by_zone(gang, machines) == {}
+    starts = plan(View(machines, [gang], {}), NOW, Policy()).starts
+    assert [start.machine for start in starts] == ["m-3", "m-3", "m-4", "m-4"]
+
+
 def test_no_more_is_preempted_than_the_zone_rules_let_start() -> None:
     """Guards against work that is stopped for tasks which may not run in that zone."""
 
