--- a/review/standins.py
+++ b/review/standins.py
@@ -15,6 +15,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import tempfile
@@ -955,6 +956,8 @@
         for process in self.processes.values():
             await process.wait()
         self.platform.stop()
+        if "REVIEW_KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 PARAMS: dict[str, Any] = {
