--- a/review/standins.py
+++ b/review/standins.py
@@ -207,7 +207,7 @@
             finally:
                 self._writers.discard(other_writer)
                 other_writer.close()
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
