--- a/review/standins2.py
+++ b/review/standins2.py
@@ -362,6 +362,8 @@
         self.capacity: dict[Kind, int] = {}
         self.hires: dict[str, list[str]] = {}
         self.machines: dict[str, dict[str, Any]] = {}
+        self.gone: dict[str, tuple[dict[str, Any], float]] = {}
+        """Machines that are gone, and when they went: the list shows them for its lag."""
         self.on_rented: Callable[[dict[str, Any]], None] = lambda _: None
         self.on_released: Callable[[str], None] = lambda _: None
         self.count = 0
@@ -375,15 +377,17 @@
             return 200, {"builds": self.types}
         if path == "/hosts/release":
             for name in body["kilns"]:
-                if self.machines.pop(name, None) is not None:
+                if name in self.machines:
+                    self.gone[name] = self.machines.pop(name), now()
                     self.on_released(name)
             return 200, {}
         if method == "POST":
             return self._rent(body)
         as_of = now() - self.lag_s
+        known = self.machines | {name: m for name, (m, at) in self.gone.items() if at > as_of}
         listed = [
             {**{k: v for k, v in m.items() if k != "at"}, "ageS": as_of - m["at"]}
-            for name, m in sorted(self.machines.items())
+            for name, m in sorted(known.items())
             if m["at"] <= as_of and name > query.get("from", "")
         ]
         most = min(500, int(query.get("most", "500")))
@@ -436,7 +440,6 @@
         """When a higher token last counted as a change."""
         self.pieces: dict[tuple[str, int], dict[str, Any]] = {}
         self.timers: dict[tuple[str, int], asyncio.TimerHandle] = {}
-        self.done: set[str] = set()
         self.images: set[str] = set()
         self.change = asyncio.Event()
         self.server = Server(self._handle)
@@ -490,7 +493,6 @@
             if now() - since > lease_s:
                 held = sum(piece["status"] != "ended" for piece in self.pieces.values())
                 self._drop_all("lease")
-                self.images.clear()
                 self.shift += 1
                 self.began, self.answered_at = now(), None
                 self.site.log("lease ended", machine=self.name, shift=self.shift, tasks_lost=held)
@@ -606,7 +608,9 @@
             piece["cause"] = "no_room"
         else:
             piece["status"] = "pulling"
-            fetch_s = 0.0 if spec["bundle"] in self.images else self.site.fetch_s
+            fetch_s = spec["sizeGb"] / self.shape["fetchGbPerS"]
+            if spec["bundle"] in self.images:
+                fetch_s = 0.0
             loop = asyncio.get_running_loop()
             self.timers[key] = loop.call_later(fetch_s, self._begin, key, spec)
             return
@@ -620,12 +624,11 @@
         self.pieces[key]["status"] = "running"
         self.change.set()
         if spec["shape"] != "standing":
-            run_s = 0.0 if key[0] in self.done else self.site.run_s(spec)
+            run_s = 0.0 if key[0] in self.site.done else self.site.run_s(spec)
             loop = asyncio.get_running_loop()
             self.timers[key] = loop.call_later(run_s, self._end, key)
 
     def _end(self, key: tuple[str, int]) -> None:
-        self.done.add(key[0])
         self._leave(key, "done")
         self.pieces[key].update(status="ended", cause="done")
         self.site.done.add(key[0])
@@ -736,7 +739,6 @@
         self.controllers: dict[str, Controller] = {}
         self.clients: dict[str, str] = {}
         self.run_s: Callable[[dict[str, Any]], float] = lambda spec: float(spec["guessS"])
-        self.fetch_s = 0.3
         self.boot_s = 1.5
         self.keeps_shares = False
         """Each controller gets no more than its share of a core."""
@@ -875,6 +877,7 @@
         for controller in self.controllers.values():
             controller.signal(signal.SIGCONT)
             await controller.kill()
+        (self.folder / "pids").unlink(missing_ok=True)
         for worker in self.workers.values():
             worker.stop("end of the test")
         self.cloud.server.close()
@@ -988,7 +991,7 @@
     return {
         "count": 3,
         "zones": ["csepel", "obuda"],
-        "teams": [{"name": "foundry", **no_quota}, {"name": "typo-lab", **no_quota}],
+        "teams": [{"name": "foundry", **no_quota, "cpus": 160.0}, {"name": "typo-lab", **no_quota}],
         "objectives": [],
         "workers": {
             "report_s": 1.0,
