--- a/tealrill/simulation/active_faults.py
+++ b/tealrill/simulation/active_faults.py
@@ -42,3 +42,9 @@
     """Maximum one-way delay between two endpoints on top of the usual latency, in seconds."""
     cancel_in_flight: bool = False
     """Whether a job is cancelled while a start command of one of its tasks is delayed."""
+    command_copy_share: float = 0.0
+    """Share of direct commands that arrive once more after they were carried out and answered."""
+    request_copy_share: float = 0.0
+    """Share of a controller's other requests that change something and are carried out twice."""
+    task_failure_share: float = 0.0
+    """Share of the tasks that fail soon after they have begun to run."""
--- a/tealrill/simulation/faults.py
+++ b/tealrill/simulation/faults.py
@@ -160,6 +160,31 @@
             seconds,
         )
 
+    async def duplicate_commands(self, share: float = 0.0, for_s: float = 0.0) -> None:
+        """Deliver late copies of direct commands, while some of the tasks fail.
+
+        Args:
+            share: Share of the commands that are delivered once more; drawn if 0.
+            for_s: How long both faults last, in seconds; drawn if 0.
+        """
+        share, for_s = share or self.rng.choice([0.3, 0.9]), for_s or self.rng.choice([20.0, 60.0])
+        faults = self.cluster.active_faults
+        await asyncio.gather(
+            self._set_field("late copies of commands", faults, "command_copy_share", share, for_s),
+            self._set_field("failing tasks", faults, "task_failure_share", 0.3, for_s),
+        )
+
+    async def duplicate_requests(self) -> None:
+        """Deliver late copies of requests to the state service, the cloud and other controllers."""
+        share, seconds = self.rng.choice([0.1, 0.5]), self.rng.choice([20.0, 60.0])
+        await self._set_field(
+            "late copies of requests",
+            self.cluster.active_faults,
+            "request_copy_share",
+            share,
+            seconds,
+        )
+
     async def _affect_machines(self, name: str, affected: set[str], for_s: list[float]) -> None:
         names = [n for n in self.cluster.workers if self.rng.random() < 0.4]
         affected.update(names)
--- a/tealrill/simulation/network.py
+++ b/tealrill/simulation/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
@@ -23,6 +24,9 @@
 
 STATE: Final = "state"
 _CLOUD: Final = "cloud"
+_MIN_COPY_DELAY_S: Final = 0.5
+_MAX_COPY_DELAYS_S: Final = (2.0, 10.0, 40.0, 120.0)
+"""Upper bounds of a late copy's delay; each copy draws one of them."""
 
 
 class Network:
@@ -142,17 +146,11 @@
                 self.cluster.rng.uniform(0.0, self.cluster.active_faults.command_delay_s)
             )
         try:
-            if endpoint == STATE:
-                reply = await self.cluster.state(source, method, path, body)
-            elif endpoint == _CLOUD:
-                reply = await self.cluster.cloud(source, method, path, body)
-            elif endpoint in self.cluster.hosts:
-                await self.wait_until_resumed(endpoint)
-                reply = await self._call_peer(self.cluster.hosts[endpoint], method, path, body)
-            else:
-                reply = await self._call_worker(source, endpoint, method, path, body)
+            reply = await self._carry_out(source, endpoint, method, path, body)
         except NoReplyError:
+            self._maybe_copy(source, endpoint, method, path, body)
             return
+        self._maybe_copy(source, endpoint, method, path, body)
         if delayed and self.cluster.rng.random() < 0.5:
             await asyncio.sleep(
                 self.cluster.rng.uniform(0.0, self.cluster.active_faults.command_delay_s)
@@ -160,6 +158,49 @@
         if not reply_future.done():
             reply_future.set_result(reply)
 
+    async def _carry_out(
+        self, source: str, endpoint: str, method: str, path: str, body: bytes | None
+    ) -> Reply:
+        """Pass a request that has arrived to its receiver, and return the reply.
+
+        Raises:
+            NoReplyError: The receiver does not answer.
+        """
+        if endpoint == STATE:
+            return await self.cluster.state(source, method, path, body)
+        if endpoint == _CLOUD:
+            return await self.cluster.cloud(source, method, path, body)
+        if endpoint in self.cluster.hosts:
+            await self.wait_until_resumed(endpoint)
+            return await self._call_peer(self.cluster.hosts[endpoint], method, path, body)
+        return await self._call_worker(source, endpoint, method, path, body)
+
+    def _maybe_copy(
+        self, source: str, endpoint: str, method: str, path: str, body: bytes | None
+    ) -> None:
+        """Let a request that was carried out arrive once more, if that fault is active."""
+        faults = self.cluster.active_faults
+        is_command = endpoint.startswith("m-")
+        share = faults.command_copy_share if is_command else faults.request_copy_share
+        if method != "GET" and share and self.cluster.rng.random() < share:
+            self.cluster.spawn(self._deliver_copy(source, endpoint, method, path, body))
+
+    async def _deliver_copy(
+        self, source: str, endpoint: str, method: str, path: str, body: bytes | None
+    ) -> None:
+        """Deliver a late copy of a request; nobody waits for the reply."""
+        longest_s = self.cluster.rng.choice(_MAX_COPY_DELAYS_S)
+        await asyncio.sleep(self.cluster.rng.uniform(_MIN_COPY_DELAY_S, longest_s))
+        while self.partitioned(source, endpoint):
+            await asyncio.sleep(0.5)
+        self.cluster.digest.add(
+            self.cluster.now(), "copy", source, endpoint, method, path, body or b""
+        )
+        host = self.cluster.hosts.get(endpoint)
+        context = host.context if host is not None else None
+        with contextlib.suppress(NoReplyError):
+            await self.cluster.spawn(self._carry_out(source, endpoint, method, path, body), context)
+
     async def _call_worker(
         self, source: str, endpoint: str, method: str, path: str, body: bytes | None
     ) -> Reply:
--- a/tealrill/simulation/worker.py
+++ b/tealrill/simulation/worker.py
@@ -33,6 +33,8 @@
     progress_s: float = 0.0
     """Run time that its checkpoints covered when it began to run."""
     running_since: float = 0.0
+    fails: bool = False
+    """Whether its run ends with a failure."""
 
 
 @dataclass
@@ -70,6 +72,8 @@
     """By name and attempt."""
     on_completed: Callable[[Worker, str], None] = lambda _, __: None
     """Called when a task of this machine has completed."""
+    fails_after_s: Callable[[], float] = lambda: math.inf
+    """Returns the run time after which a task that begins to run fails, in seconds."""
     fetched_at: float = math.inf
     """When it has fetched the image of the jobs."""
     paused_at: float | None = None
@@ -118,6 +122,8 @@
             elif task.state == wire.SAVING:
                 self._save(name, task)
                 task.state, task.cause = wire.EXITED, wire.WHY_STOPPED
+            elif task.fails:
+                task.state, task.cause = wire.EXITED, wire.WHY_ERROR
             else:
                 task.state, task.cause = wire.EXITED, wire.WHY_DONE
                 self.completed_tasks.add(name)
@@ -128,9 +134,10 @@
         now, job = self.now(), self.jobs[job_id_of(name)]
         task.state, task.running_since = wire.RUNNING, now
         task.progress_s = self.checkpoints.get(name, 0.0)
-        task.state_ends_at = now + (
-            0.0 if name in self.completed_tasks else job.run_s - task.progress_s
-        )
+        left_s = 0.0 if name in self.completed_tasks else job.run_s - task.progress_s
+        fails_after_s = self.fails_after_s()
+        task.fails = fails_after_s < left_s
+        task.state_ends_at = now + min(left_s, fails_after_s)
         if job.checkpoint_s:
             task.next_checkpoint_at = now + job.checkpoint_s
         self.on_started(self, name)
--- a/tealrill/simulation/worker_fleet.py
+++ b/tealrill/simulation/worker_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Final
 
@@ -23,6 +24,8 @@
 """Pause before the next controller is tried."""
 _MIN_HEARTBEAT_INTERVAL_S: Final = 0.5
 """Minimum time between two heartbeats to the same controller."""
+_LATEST_FAILURE_S: Final = 4.0
+"""Run time after which a failing task has failed."""
 _DELAYED_SHARE: Final = 0.5
 """Share of the heartbeats sent into a partition that are delivered once it has healed."""
 
@@ -60,6 +63,7 @@
             self.cluster.checkpoints,
         )
         worker.on_completed = self.cluster.users.task_completed
+        worker.fails_after_s = self._fails_after_s
         self.cluster.workers[machine.id] = worker
         self.cluster.spawn(self._run_ticks(worker))
         controllers = list(self.cluster.hosts)
@@ -67,6 +71,12 @@
         while not machine.terminated:
             index = await self._send_heartbeat(worker, controllers, index)
 
+    def _fails_after_s(self) -> float:
+        share = self.cluster.active_faults.task_failure_share
+        if share and self.cluster.rng.random() < share:
+            return self.cluster.rng.uniform(0.2, _LATEST_FAILURE_S)
+        return math.inf
+
     async def _run_ticks(self, worker: Worker) -> None:
         while not worker.machine.terminated:
             worker.tick()
--- a/tests/test_simulated_worker.py
+++ b/tests/test_simulated_worker.py
@@ -101,3 +101,14 @@
     worker.terminates_at = clock.now + 6.0
     clock.now += 2.0
     assert worker.build_heartbeat()["warningS"] == 4.0
+
+
+def test_failing_task_exits_with_an_error_before_it_completes() -> None:
+    clock = _Clock()
+    worker = _worker(clock)
+    worker.fails_after_s = lambda: 3.0
+    _run(worker, clock)
+    clock.now += 3.0
+    worker.tick()
+    assert _listed(worker) == [(1, wire.EXITED, wire.WHY_ERROR)]
+    assert not worker.completed_tasks
