Fix: a late copy of an answered start ran a forgotten attempt again

Attempt 1 of a task was started directly on one machine, answered 200, failed, was reported, written and forgotten; attempt 2 ran on another machine; then a copy of the first call arrived, 7.8 s after its answer, with token and session unchanged, and attempt 1 ran once more. The same way a cancelled task ran again.

Cause: one delivery of a message was taken for the only one. Exit.is_forgettable let a worker forget an attempt once no direct start of it was unanswered, and a 200 was taken for the end of the request. A start that got no answer was never forgotten instead, so that a machine's reports grew.

Change: a term owns a range of fencing tokens (TOKENS_PER_TERM), and the leader keeps the current one of each machine (fleet/machine_tokens.py). A response with a forget carries a token higher by one. All direct starts of what is forgotten left earlier, under lower tokens, and the worker refuses them from that response on, however late; if it drops the response it has not forgotten either. Starts without an answer are forgotten the same way. `term` holds the highest token that any term has owned, the leader's record the last one of its own, so that leaders of the version before and of this one can follow each other in both directions. Delegates answer with the token that the worker has shown, if it is the term's.

--- a/tealrill/daemon.py
+++ b/tealrill/daemon.py
@@ -267,12 +267,12 @@
                 host = None
             self._heartbeat_counts.redirected += 1
             return 421, wire.redirect(host)
-        commands = self.leader.handle_heartbeat(heartbeat, machine_id, now)
-        if commands is None:
+        response = self.leader.handle_heartbeat(heartbeat, machine_id, now)
+        if response is None:
             self._heartbeat_counts.refused += 1
             return 503, {"error": "not taken"}
         self._heartbeat_counts.renewed += 1
-        return 200, wire.heartbeat_response(leadership.term, commands)
+        return 200, wire.heartbeat_response(response.token, response.commands)
 
     def _has_quorum_reach(self) -> bool:
         """Return True if heartbeats still reach this controller and its zone offers machine types.
--- a/tealrill/fleet/commands.py
+++ b/tealrill/fleet/commands.py
@@ -23,13 +23,21 @@
     def for_response(
         self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic
     ) -> list[dict[str, Any]]:
-        """Return the commands for a heartbeat's response; the starts among them count as sent."""
+        """Return the commands for a heartbeat's response; the starts among them count as sent.
+
+        Commands to forget raise the machine's token, which the response has to carry: a worker that
+        has forgotten an attempt would run it again for a late copy of its direct start, and refuses
+        the copy for its lower token.
+        """
         commands = self.stops(machine, now)
+        forgets: list[dict[str, Any]] = []
         for task, attempt, status in machine.exited_or_unbound:
             if status.state != wire.EXITED:
                 commands.append(wire.stop_command(status.task, attempt, 0.0))
-            elif machine.exited.get((task, attempt), UNKNOWN_EXIT).is_forgettable:
-                commands.append(wire.forget_command(status.task, attempt))
+            elif machine.exited.get((task, attempt), UNKNOWN_EXIT).is_committed:
+                forgets.append(wire.forget_command(status.task, attempt))
+        if forgets and self._fleet.tokens.advance(machine):
+            commands += forgets
         if not machine.releasing:
             for binding in machine.bindings.values():
                 if (
--- a/tealrill/fleet/heartbeats.py
+++ b/tealrill/fleet/heartbeats.py
@@ -15,7 +15,6 @@
 from tealrill.fleet.machine import Machine
 from tealrill.state.bindings import Binding
 from tealrill.types import (
-    FencingToken,
     HeartbeatSequence,
     Incarnation,
     MachineId,
@@ -44,9 +43,8 @@
 class HeartbeatProcessor:
     """Processes the heartbeats of one term's workers."""
 
-    def __init__(self, fleet: Fleet, term: FencingToken, heartbeat_interval_s: float) -> None:
+    def __init__(self, fleet: Fleet, heartbeat_interval_s: float) -> None:
         self._fleet = fleet
-        self._term = term
         # With a heartbeat interval longer than the workers' retry time, consecutive sequence
         # numbers alone show that a worker stayed with this node. The window must cover the
         # interval, or a healed partition would never be detected.
@@ -65,6 +63,7 @@
         if not self._may_acknowledge(heartbeat, machine_id):
             return None
         machine = self._find_or_add_machine(heartbeat, machine_id, now)
+        self._fleet.tokens.observe(machine, heartbeat.token)
         if self._must_fence(machine, heartbeat, now):
             return None
         if self._is_out_of_date(machine, heartbeat):
@@ -81,7 +80,7 @@
         Not before the records are loaded, and not after the machine's release. Raises
         `NewerTokenError` if the worker has seen a later term.
         """
-        if heartbeat.token > self._term:
+        if self._fleet.tokens.is_newer(heartbeat.token):
             raise NewerTokenError(f"machine {machine_id} has seen token {heartbeat.token}")
         return machine_id not in self._fleet.terminated and self._fleet.loaded
 
@@ -135,10 +134,11 @@
         machine = self._fleet.machines.get(machine_id)
         if (
             machine is None
-            or heartbeat.token > self._term
+            or self._fleet.tokens.is_newer(heartbeat.token)
             or self._is_out_of_date(machine, heartbeat)
         ):
             return
+        self._fleet.tokens.observe(machine, heartbeat.token)
         self._update_machine(machine, heartbeat, now, wall, direct=True)
 
     def has_overdue_stop(self, now: Monotonic) -> bool:
@@ -252,7 +252,7 @@
     def _update_machine(
         self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic, wall: Wall, direct: bool
     ) -> bool:
-        """Update the machine's record; return whether the heartbeat carries this term's token.
+        """Update the machine's record; return whether the heartbeat carries a token of this term.
 
         Only then is its list reconciled. `direct` heartbeats are replies to direct commands.
         """
@@ -281,7 +281,7 @@
                 self._fleet.changed()
             machine.preemption_notice_until = Monotonic(now + heartbeat.notice_s)
         was_current = machine.has_current_token
-        machine.has_current_token = heartbeat.token == self._term
+        machine.has_current_token = self._fleet.tokens.is_current(heartbeat.token)
         if not machine.has_current_token:
             # The list may be older than this term, so it proves nothing.
             return False
--- a/tealrill/fleet/inventory.py
+++ b/tealrill/fleet/inventory.py
@@ -5,7 +5,7 @@
 cloud's confirmations go in, and commands come out. docs/design.md has the argument. A binding ends
 only by
 
-1. a message of its machine and incarnation that carries this term's token, is newer than the
+1. a message of its machine and incarnation that carries a token of this term, is newer than the
    heartbeat whose response carried the start, and shows the attempt as exited or does not list it.
    If the attempt was never listed before, only a heartbeat counts, not the reply to a direct
    command, and only if no direct start of the attempt is in flight;
@@ -27,6 +27,7 @@
 from tealrill.fleet.heartbeats import HeartbeatProcessor
 from tealrill.fleet.leases import Leases
 from tealrill.fleet.machine import CompletedTask, Machine
+from tealrill.fleet.machine_tokens import MachineTokens
 from tealrill.fleet.reconciliation import Reconciler
 from tealrill.scheduler.failure_attribution import FailureAttribution
 from tealrill.state.bindings import Binding, Job
@@ -67,11 +68,12 @@
         self.stop_timeout_s = math.inf
         """Seconds after which a cancelled job's stop is overdue and left to the lease's expiry."""
         self.job_store = job_store
+        self.tokens = MachineTokens(term)
         self.leases = Leases(self, elected_at, lease_s, delegation_s)
         self.cancelled_tasks = CancelledTasks(job_store, term)
         self.commands = Commands(self)
         self.reconciler = Reconciler(self)
-        self.heartbeats = HeartbeatProcessor(self, term, heartbeat_interval_s)
+        self.heartbeats = HeartbeatProcessor(self, heartbeat_interval_s)
 
     def inherit(self, bindings: Iterable[Binding], now: Monotonic) -> None:
         """Take over the bindings of earlier terms; only one of the four proofs ends them."""
--- a/tealrill/fleet/machine.py
+++ b/tealrill/fleet/machine.py
@@ -10,6 +10,7 @@
 from tealrill.state.bindings import Binding, Chunk, Job
 from tealrill.types import (
     Attempt,
+    FencingToken,
     HeartbeatSequence,
     Incarnation,
     MachineId,
@@ -20,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Exit:
-    """An exited attempt, and the condition under which the worker may forget it."""
+    """An exited attempt, and the chunk's version after which the worker may forget it."""
 
     chunk: Chunk | None
     version: int
@@ -28,17 +29,10 @@
 
     Until it is committed, a new leader does not know the outcome and would run the task again.
     """
-    binding: Binding | None = None
 
     @property
-    def is_forgettable(self) -> bool:
-        """Return whether the worker may forget the attempt.
-
-        That is so once the outcome is committed and no direct start of the attempt is in flight.
-        """
-        if self.binding is not None and self.binding.direct_start_in_flight:
-            # The worker would run a forgotten attempt again if its direct start arrived late.
-            return False
+    def is_committed(self) -> bool:
+        """Return whether the outcome is committed."""
         return self.chunk is None or self.chunk.committed >= self.version
 
 
@@ -60,8 +54,11 @@
     addr: str = ""
     incarnation: Incarnation | None = None
     sequence: HeartbeatSequence = HeartbeatSequence(-1)
+    token: FencingToken = FencingToken(0)
+    """The highest token of this term that was sent to its worker or that its worker has shown."""
     has_current_token: bool = False
-    """Its last heartbeat carried this term's token: its worker refuses earlier terms' commands."""
+    """Its last heartbeat carried a token of this term: its worker refuses earlier terms' commands.
+    """
     incarnation_seen_at: Monotonic | None = None
     """When this leader first saw its incarnation; the incarnation's lease began before that."""
     last_acknowledged_at: Monotonic | None = None
--- a/tealrill/fleet/reconciliation.py
+++ b/tealrill/fleet/reconciliation.py
@@ -30,7 +30,7 @@
     def reconcile(
         self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic, wall: Wall, direct: bool
     ) -> None:
-        """Apply the list of a heartbeat with this term's token to the machine's bindings.
+        """Apply the list of a heartbeat with a token of this term to the machine's bindings.
 
         A `direct` heartbeat came in the reply to a direct command.
         """
@@ -139,7 +139,7 @@
             machine.refused_until = Monotonic(now + 2.0)
         self._fleet.unbind(machine, binding, now, f"exited ({status.why})")
         key = (binding.task, binding.attempt)
-        machine.exited[key] = Exit(binding.chunk, binding.chunk.version, binding)
+        machine.exited[key] = Exit(binding.chunk, binding.chunk.version)
         self._fleet.changed()
 
     def _record_failure(self, machine: Machine, binding: Binding, now: Monotonic) -> None:
@@ -185,7 +185,7 @@
         now: Monotonic,
         direct: bool,
     ) -> None:
-        """Handle a bound task that a heartbeat with this term's token does not list."""
+        """Handle a bound task that a heartbeat with a token of this term does not list."""
         if binding.start_confirmed or binding.inherited:
             self._fleet.unbind(machine, binding, now, "no longer listed")
             self._fleet.changed()
--- a/tealrill/leader/direct_commands.py
+++ b/tealrill/leader/direct_commands.py
@@ -14,7 +14,7 @@
 from tealrill.http import NoAnswerError
 from tealrill.settings import SettingsError
 from tealrill.state.bindings import Binding
-from tealrill.types import FencingToken, MachineId, monotonic_now, wall_now
+from tealrill.types import MachineId, monotonic_now, wall_now
 
 log = logging.getLogger(__name__)
 
@@ -30,14 +30,12 @@
         self,
         fleet: Fleet,
         connections: ConnectionPool,
-        term: FencingToken,
         is_valid: Callable[[], bool],
         wake: Callable[[], None],
     ) -> None:
-        """Send commands of `term` while `is_valid` returns True; call `wake` after each success."""
+        """Send commands while `is_valid` returns True; call `wake` after each success."""
         self._fleet = fleet
         self._connections = connections
-        self._term = term
         self._is_valid = is_valid
         self._wake = wake
         self._tasks: dict[MachineId, asyncio.Task[None]] = {}
@@ -80,7 +78,8 @@
             commands = stops + [wire.start_command(str(b.task), b.attempt) for b in starts]
             if not commands:
                 return
-            body = wire.encode(wire.direct_commands(self._term, machine.incarnation, commands))
+            token = self._fleet.tokens.current(machine)
+            body = wire.encode(wire.direct_commands(token, machine.incarnation, commands))
             self._fleet.commands.direct_sent(starts)
             if not await self._request(machine, body, starts):
                 return
--- a/tealrill/leader/leader.py
+++ b/tealrill/leader/leader.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from collections.abc import Callable, Sequence
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from tealrill import wire
 from tealrill.extensions import LeaderExtension, LeadershipContext
@@ -36,7 +36,7 @@
 from tealrill.state.fencing import Duty, Leadership
 from tealrill.state.job_store import JobStore
 from tealrill.state.write_batcher import LeadershipLostError, WriteBatcher
-from tealrill.types import MachineId, Monotonic, monotonic_now, wall_now
+from tealrill.types import FencingToken, MachineId, Monotonic, monotonic_now, wall_now
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +44,13 @@
 """A stop normally takes effect within this time: it is sent with every heartbeat response."""
 
 
+class HeartbeatResponse(NamedTuple):
+    """A response that renews a worker's lease."""
+
+    token: FencingToken
+    commands: list[dict[str, Any]]
+
+
 class Leader:
     """The components of the leader, for one term."""
 
@@ -139,9 +146,7 @@
         """Compose the components that schedule tasks, send commands to workers and probe them."""
         self._connections = ConnectionPool(params.quota.fd_limit, lambda: len(self.fleet.machines))
         self.fleet.deregistered = self._connections.drop
-        self.direct_commands = DirectCommands(
-            self.fleet, self._connections, self._leadership.term, self._valid, self.wake
-        )
+        self.direct_commands = DirectCommands(self.fleet, self._connections, self._valid, self.wake)
         self.scheduling_loop = SchedulingLoop(
             self.job_store,
             self.fleet,
@@ -348,8 +353,8 @@
 
     def handle_heartbeat(
         self, report: wire.Heartbeat, machine_id: MachineId, now: Monotonic
-    ) -> list[dict[str, object]] | None:
-        """Process a heartbeat; return the commands, None if the worker must try another node."""
+    ) -> HeartbeatResponse | None:
+        """Process a heartbeat; return the response, None if the worker must try another node."""
         try:
             commands = self.fleet.heartbeats.process(report, machine_id, now, wall_now())
         except NewerTokenError as error:
@@ -358,4 +363,7 @@
             return None
         if self.job_store.ending_jobs:
             self.write_batcher.wake()
-        return commands
+        if commands is None:
+            return None
+        token = self.fleet.tokens.current(self.fleet.machines[machine_id])
+        return HeartbeatResponse(token, commands)
--- a/tealrill/leadership/election.py
+++ b/tealrill/leadership/election.py
@@ -1,7 +1,8 @@
 """Leader election and renewal of the leader's lease.
 
 The key `leader` is attached to a lease, the value of the key `term` only increases, and one
-transaction sets both. The term is the fencing token that workers see. A leader considers its lease
+transaction sets both. A term is a range of the fencing tokens that workers see: its number is the
+lowest, and the key `term` has the highest that any term has owned. A leader considers its lease
 valid for the lease's TTL, counted from the moment it *sent* the last successful renewal and reduced
 by the largest drift between two steady clocks. After that it sends nothing to workers until a
 renewal succeeds.
@@ -47,6 +48,7 @@
     Monotonic,
     Revision,
     Wall,
+    last_token_of,
     lower_bound_deadline,
     monotonic_now,
     wall_now,
@@ -92,6 +94,17 @@
     term: FencingToken
     mod_revision: Revision = ABSENT
     """Revision of the leader's key."""
+    last_token: FencingToken = FencingToken(0)
+    """The highest token of its term; 0 if the term has one token, its number."""
+
+    def token_for(self, seen: int) -> FencingToken | None:
+        """Return the token of its term that a worker accepts which has seen the token `seen`.
+
+        None if the worker has seen a later term.
+        """
+        if seen > max(self.term, self.last_token):
+            return None
+        return FencingToken(max(self.term, seen))
 
 
 class _LeaderlessObservation(NamedTuple):
@@ -352,7 +365,12 @@
                 f"unreadable record: key={entry.key} revision={entry.version} error={error}"
             )
             return None
-        return KnownLeader(record.host, FencingToken(record.term), Revision(entry.version))
+        return KnownLeader(
+            record.host,
+            FencingToken(record.term),
+            Revision(entry.version),
+            FencingToken(record.last_token),
+        )
 
     async def _delete_own_key(self, entry: wire.Entry) -> None:
         """Delete the leader's key that this host has set.
@@ -454,7 +472,7 @@
             wire.guard(TERM_KEY, last.version if last is not None else ABSENT),
             wire.guard(exclusion_key(self._host), ABSENT),
         ]
-        changes = [wire.put(LEADER_KEY, value, lease), wire.put(TERM_KEY, term)]
+        changes = [wire.put(LEADER_KEY, value, lease), wire.put(TERM_KEY, last_token_of(term))]
         return _Candidacy(term, guards, changes)
 
     async def _commit(self, candidacy: _Candidacy) -> Revision | None:
@@ -582,6 +600,6 @@
         self.leadership = Leadership(
             term, revision, lease, monotonic_now(), _validity(renewed_at), renewed_at=renewed_at
         )
-        self.known_leader = KnownLeader(self._host, term, revision)
+        self.known_leader = KnownLeader(self._host, term, revision, last_token_of(term))
         self._client.set_leading(True)
         self._changed()
--- a/tealrill/leadership/leader_record.py
+++ b/tealrill/leadership/leader_record.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tealrill import wire
-from tealrill.types import FencingToken, LeaseId, Monotonic, Wall
+from tealrill.types import FencingToken, LeaseId, Monotonic, Wall, last_token_of
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
@@ -15,6 +15,8 @@
 
     host: str
     term: int
+    last_token: int = 0
+    """The highest token of the term; 0 in a record of a version whose terms have one token."""
 
 
 class Candidate(NamedTuple):
@@ -32,6 +34,7 @@
             "host": self.host,
             "incarnation": self.incarnation,
             "term": term,
+            "last_token": last_token_of(term),
             "at": elected_at,
             "again": reelections,
             "revocable": True,
--- a/tealrill/leadership/renewal_delegation.py
+++ b/tealrill/leadership/renewal_delegation.py
@@ -119,16 +119,18 @@
             or self._partitioned_since is None
             or renewals.leader != self._election.known_leader
             or now >= self._valid_until
-            or report.token > renewals.leader.term
         ):
             return None
+        token = renewals.leader.token_for(report.token)
+        if token is None:
+            return None
         if not self._open_jobs.may_renew(report, machine, now):
             # The worker runs, or may be about to start, a task of a job that is or may be
             # cancelled. Its lease must expire to end that task; other workers are still renewed.
             renewals.withhold(machine, now)
             return None
         renewals.renewed.add(machine)
-        return renewals.leader.term
+        return token
 
     @property
     def leader_unreachable(self) -> bool:
--- a/tealrill/types.py
+++ b/tealrill/types.py
@@ -12,7 +12,10 @@
 JobId = NewType("JobId", str)
 MachineId = NewType("MachineId", str)
 FencingToken = NewType("FencingToken", int)
-"""The leader's term; workers reject commands with a lower token than the highest they know."""
+"""Workers reject commands with a lower token than the highest they know.
+
+A term owns a range of tokens; its number is the lowest of them.
+"""
 Attempt = NewType("Attempt", int)
 Incarnation = NewType("Incarnation", int)
 HeartbeatSequence = NewType("HeartbeatSequence", int)
@@ -23,6 +26,8 @@
 Wall = NewType("Wall", float)
 """Seconds since 1970; clocks of different machines differ by up to the bound in the settings."""
 
+TOKENS_PER_TERM: Final = 1_000_000_000
+"""Number of consecutive fencing tokens that a term owns."""
 CLOCK_DRIFT: Final = 1.001
 """Largest ratio of the rates of two monotonic clocks, each of which is up to 0.05% off."""
 ABSENT: Final = Revision(0)
@@ -64,6 +69,11 @@
     return None if job_id is None else TaskId(job_id, int(index))
 
 
+def last_token_of(term: FencingToken) -> FencingToken:
+    """Return the highest fencing token of a term of this version."""
+    return FencingToken(term + TOKENS_PER_TERM - 1)
+
+
 def lower_bound_deadline(since: Monotonic, length_s: float, margin_s: float) -> Monotonic:
     """Return a time before which `length_s` seconds have certainly not elapsed on another clock.
 
