Log and count forgotten attempts that run again, and refused direct commands

The leader knew neither that the attempt it saw had been forgotten by its own term, nor why a worker refuses a command.

FencingLog keeps the last 4,096 forgotten attempts of a term and warns once if a worker lists one of them as running; it tells a refused direct request by machine, term and reason (a higher token, a later incarnation).

--- a/tealrill/fleet/commands.py
+++ b/tealrill/fleet/commands.py
@@ -8,7 +8,7 @@
 from tealrill import wire
 from tealrill.fleet.machine import UNKNOWN_EXIT, Machine
 from tealrill.state.bindings import Binding, Stop
-from tealrill.types import HeartbeatSequence, Monotonic, parse_task_id
+from tealrill.types import Attempt, HeartbeatSequence, Monotonic, TaskId, parse_task_id
 
 if TYPE_CHECKING:
     from tealrill.fleet.inventory import Fleet
@@ -30,14 +30,16 @@
         the copy for its lower token.
         """
         commands = self.stops(machine, now)
-        forgets: list[dict[str, Any]] = []
+        forgets: list[tuple[TaskId, Attempt, wire.TaskStatus]] = []
         for task, attempt, status in machine.exited_or_unbound:
             if status.state != wire.EXITED:
                 commands.append(wire.stop_command(status.task, attempt, 0.0))
             elif machine.exited.get((task, attempt), UNKNOWN_EXIT).is_committed:
-                forgets.append(wire.forget_command(status.task, attempt))
+                forgets.append((task, attempt, status))
         if forgets and self._fleet.tokens.advance(machine):
-            commands += forgets
+            for task, attempt, status in forgets:
+                commands.append(wire.forget_command(status.task, attempt))
+                self._fleet.fencing_log.on_forget(machine.id, task, attempt, now)
         if not machine.releasing:
             for binding in machine.bindings.values():
                 if (
--- a/tealrill/fleet/inventory.py
+++ b/tealrill/fleet/inventory.py
@@ -24,6 +24,7 @@
 
 from tealrill.fleet.cancelled_tasks import CancelledTasks
 from tealrill.fleet.commands import Commands
+from tealrill.fleet.fencing_log import FencingLog
 from tealrill.fleet.heartbeats import HeartbeatProcessor
 from tealrill.fleet.leases import Leases
 from tealrill.fleet.machine import CompletedTask, Machine
@@ -69,6 +70,7 @@
         """Seconds after which a cancelled job's stop is overdue and left to the lease's expiry."""
         self.job_store = job_store
         self.tokens = MachineTokens(term)
+        self.fencing_log = FencingLog(term)
         self.leases = Leases(self, elected_at, lease_s, delegation_s)
         self.cancelled_tasks = CancelledTasks(job_store, term)
         self.commands = Commands(self)
--- a/tealrill/fleet/reconciliation.py
+++ b/tealrill/fleet/reconciliation.py
@@ -84,6 +84,8 @@
         exited_or_unbound.append((task, attempt, status))
         if status.state == wire.EXITED:
             self._record_unbound_exit(machine, task, attempt, status, now)
+        else:
+            self._fleet.fencing_log.on_unbound_listed(machine.id, task, attempt, now)
         return None
 
     def _apply_status(
--- a/tealrill/leader/direct_commands.py
+++ b/tealrill/leader/direct_commands.py
@@ -14,7 +14,7 @@
 from tealrill.http import NoAnswerError
 from tealrill.settings import SettingsError
 from tealrill.state.bindings import Binding
-from tealrill.types import MachineId, monotonic_now, wall_now
+from tealrill.types import FencingToken, MachineId, monotonic_now, wall_now
 
 log = logging.getLogger(__name__)
 
@@ -81,12 +81,14 @@
             token = self._fleet.tokens.current(machine)
             body = wire.encode(wire.direct_commands(token, machine.incarnation, commands))
             self._fleet.commands.direct_sent(starts)
-            if not await self._request(machine, body, starts):
+            if not await self._request(machine, token, body, starts):
                 return
             self._wake()
             stops = []
 
-    async def _request(self, machine: Machine, body: bytes, starts: list[Binding]) -> bool:
+    async def _request(
+        self, machine: Machine, token: FencingToken, body: bytes, starts: list[Binding]
+    ) -> bool:
         """Send one request; return True if the worker has executed the commands.
 
         Without an answer it is unknown whether the starts were executed.
@@ -112,7 +114,7 @@
                 self._fleet.commands.direct_refused(starts)
             return False
         if answer.status in (400, 409):
-            log.info("direct commands refused: machine=%s status=%d", machine.id, answer.status)
+            self._fleet.fencing_log.on_refused(machine.id, token, report)
             self._fleet.commands.direct_refused(starts)
         if report is None:
             return False
--- a/tealrill/status.py
+++ b/tealrill/status.py
@@ -53,6 +53,7 @@
         state["jobs"] = len(leader.job_store.jobs)
         state["head"] = plan.reserved_job
         state["duties"] = leader.duties()
+        state["fencing"] = asdict(leader.fleet.fencing_log.counts)
         cancelled = leader.fleet.cancelled_tasks
         state["old_list_renewals"] = cancelled.old_list_renewals
         state["renewals_with_stops"] = cancelled.renewals_with_stops
--- a/tests/test_cancellation_deadlines.py
+++ b/tests/test_cancellation_deadlines.py
@@ -646,7 +646,9 @@
     leader.direct_commands._connections = cast(Any, ConnectionPool())
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(direct_commands, "monotonic_now", lambda: at[0])
-        assert not asyncio.run(leader.direct_commands._request(machine, b"", [binding]))
+        assert not asyncio.run(
+            leader.direct_commands._request(machine, FencingToken(1), b"", [binding])
+        )
     assert machine.inbound_partitioned is inbound_partitioned
 
 
