--- a/tealrill/fleet/fencing_log.py
+++ b/tealrill/fleet/fencing_log.py
@@ -52,6 +52,11 @@
         if len(self._forgotten) > MAX_REMEMBERED_FORGETS:
             self._forgotten.popitem(last=False)
 
+    def drop_machine(self, machine: MachineId) -> None:
+        """Remove what is kept of a machine that is gone."""
+        for key in [key for key in self._forgotten if key[0] == machine]:
+            del self._forgotten[key]
+
     def on_unbound_listed(
         self, machine: MachineId, task: TaskId, attempt: Attempt, now: Monotonic
     ) -> None:
--- a/tealrill/fleet/inventory.py
+++ b/tealrill/fleet/inventory.py
@@ -204,5 +204,6 @@
     def _remove(self, machine_id: MachineId) -> Machine | None:
         machine = self.machines.pop(machine_id, None)
         self.failure_attribution.forget_machine(machine_id)
+        self.fencing_log.drop_machine(machine_id)
         self.deregistered(machine_id)
         return machine
--- a/tests/test_fencing_log.py
+++ b/tests/test_fencing_log.py
@@ -76,3 +76,11 @@
     for index in range(2 * MAX_REMEMBERED_FORGETS):
         fencing_log.on_forget(MACHINE, TaskId(JobId("wk-1"), index), Attempt(1), NOW)
     assert len(fencing_log._forgotten) == MAX_REMEMBERED_FORGETS
+
+
+def test_nothing_is_kept_of_a_machine_that_is_gone() -> None:
+    fleet = Fleet(JobStore(4.0), TERM, NOW, 8.0)
+    fleet.inherit([], NOW)
+    _report(fleet, 1, wire.EXITED, wire.WHY_ERROR)
+    fleet.released(MACHINE, NOW)
+    assert not fleet.fencing_log._forgotten
