--- a/tealrill/simulation/faults.py
+++ b/tealrill/simulation/faults.py
@@ -57,6 +57,8 @@
             self.flapping,
             self.change_leaders,
             self.reclaim_machine,
+            self.duplicate_commands,
+            self.duplicate_requests,
         ]
         tasks: list[asyncio.Task[None]] = []
         while self.cluster.now() < until:
