Commands get the parts they need instead of the whole Fleet

fleet/commands.py took the Fleet and so formed a circle of imports with fleet/inventory.py. It now gets the machines, the job store, the tokens, the fencing log and the way to end a binding.

--- a/tealrill/fleet/commands.py
+++ b/tealrill/fleet/commands.py
@@ -2,23 +2,48 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Iterable, Mapping
+from typing import Any, Protocol
 
 from tealrill import wire
+from tealrill.fleet.fencing_log import FencingLog
 from tealrill.fleet.machine import UNKNOWN_EXIT, Machine
+from tealrill.fleet.machine_tokens import MachineTokens
 from tealrill.state.bindings import Binding, Stop
-from tealrill.types import Attempt, HeartbeatSequence, Monotonic, TaskId, parse_task_id
+from tealrill.state.job_store import JobStore
+from tealrill.types import (
+    Attempt,
+    HeartbeatSequence,
+    MachineId,
+    Monotonic,
+    TaskId,
+    parse_task_id,
+)
 
-if TYPE_CHECKING:
-    from tealrill.fleet.inventory import Fleet
+
+class Unbind(Protocol):
+    """Ends the binding of a task; `proof` names the evidence that it does not run, for the log."""
+
+    def __call__(self, machine: Machine, binding: Binding, now: Monotonic, proof: str) -> None:
+        """End the binding."""
 
 
 class Commands:
     """The commands of one term, sent in heartbeat responses or directly to the worker."""
 
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
+    def __init__(
+        self,
+        machines: Mapping[MachineId, Machine],
+        job_store: JobStore,
+        tokens: MachineTokens,
+        fencing_log: FencingLog,
+        unbind: Unbind,
+    ) -> None:
+        self._machines = machines
+        self._job_store = job_store
+        self._tokens = tokens
+        self._fencing_log = fencing_log
+        self._unbind = unbind
 
     def for_response(
         self, machine: Machine, heartbeat: wire.Heartbeat, now: Monotonic
@@ -36,10 +61,10 @@
                 commands.append(wire.stop_command(status.task, attempt, 0.0))
             elif machine.exited.get((task, attempt), UNKNOWN_EXIT).is_committed:
                 forgets.append((task, attempt, status))
-        if forgets and self._fleet.tokens.advance(machine):
+        if forgets and self._tokens.advance(machine):
             for task, attempt, status in forgets:
                 commands.append(wire.forget_command(status.task, attempt))
-                self._fleet.fencing_log.on_forget(machine.id, task, attempt, now)
+                self._fencing_log.on_forget(machine.id, task, attempt, now)
         if not machine.releasing:
             for binding in machine.bindings.values():
                 if (
@@ -71,7 +96,7 @@
     def _is_open(self, task_name: str) -> bool:
         """Return whether the task's job is known and not cancelled; True for a malformed name."""
         task = parse_task_id(task_name)
-        job = self._fleet.job_store.jobs.get(task.job) if task is not None else None
+        job = self._job_store.jobs.get(task.job) if task is not None else None
         return task is None or (job is not None and not job.cancelled)
 
     def _may_send_in_response(self, binding: Binding) -> bool:
@@ -104,7 +129,7 @@
         for binding in bindings:
             binding.direct_start_in_flight = False
             binding.start_confirmed = True
-            machine = self._fleet.machines.get(binding.machine)
+            machine = self._machines.get(binding.machine)
             if machine is not None:
                 machine.mark_inbound_partitioned(False)
 
@@ -151,11 +176,11 @@
                 binding.stop = Stop(reason, grace_s, now)
             return True
         binding.stop = Stop(reason, grace_s, now)
-        machine = self._fleet.machines.get(binding.machine)
+        machine = self._machines.get(binding.machine)
         if machine is not None:
             machine.invalidate_caches()
         if binding.never_sent:
             if machine is not None:
-                self._fleet.unbind(machine, binding, now, f"never started ({reason})")
+                self._unbind(machine, binding, now, f"never started ({reason})")
             return False
         return True
--- a/tealrill/fleet/inventory.py
+++ b/tealrill/fleet/inventory.py
@@ -73,7 +73,9 @@
         self.fencing_log = FencingLog(term)
         self.leases = Leases(self, elected_at, lease_s, delegation_s)
         self.cancelled_tasks = CancelledTasks(job_store, term)
-        self.commands = Commands(self)
+        self.commands = Commands(
+            self.machines, job_store, self.tokens, self.fencing_log, self.unbind
+        )
         self.reconciler = Reconciler(self)
         self.heartbeats = HeartbeatProcessor(self, heartbeat_interval_s)
 
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -503,7 +503,9 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self.commands = self._Commands(self)
+        self.commands = self._Commands(
+            self.machines, self.job_store, self.tokens, self.fencing_log, self.unbind
+        )
 
 
 class TrustsHeartbeatsOfOlderTerms(Fleet):
@@ -547,7 +549,9 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self.commands = self._Commands(self)
+        self.commands = self._Commands(
+            self.machines, self.job_store, self.tokens, self.fencing_log, self.unbind
+        )
 
 
 class ExpiresLeasesTooEarly(Fleet):
@@ -663,6 +667,9 @@
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.tokens = self._Tokens(args[1])
+        self.commands = Commands(
+            self.machines, self.job_store, self.tokens, self.fencing_log, self.unbind
+        )
 
 
 def test_forgetting_under_same_token_violates_invariant_with_command_copies() -> None:
