Fix: a reply of another machine counted for the one that a command was meant for

A machine ends, another one gets its address: the reply of the second (200 or 409) was processed as the first one's. Its list replaced the first one's, a start was confirmed, or taken for refused and sent again, on a machine that is gone.

Cause, the same class: a delivery was taken for the one that was meant. The reply names its machine, and nobody looked. Now such a reply proves nothing: the start stays unaccounted for, so that the task stays bound until the first machine's lease, release or later incarnation.

Not closed by this: the second machine carries out what reached it. Its next report shows a task without a binding, which is stopped; until then it may run beside a new attempt if the first machine's lease ends earlier.

--- a/tealrill/leader/direct_commands.py
+++ b/tealrill/leader/direct_commands.py
@@ -113,6 +113,15 @@
             ):
                 self._fleet.commands.direct_refused(starts)
             return False
+        if report is not None and report.machine != machine.id:
+            # The address belongs to another machine by now, whose reply proves nothing here.
+            log.warning(
+                "direct commands answered by another machine: machine=%s addr=%s answered_by=%s",
+                machine.id,
+                machine.addr,
+                report.machine,
+            )
+            return False
         if answer.status in (400, 409):
             self._fleet.fencing_log.on_refused(machine.id, token, report)
             self._fleet.commands.direct_refused(starts)
