Debug lines: under which token an attempt is started and forgotten; delegates' token tested whole

`start sent` and `forget sent` name machine, task, attempt and token at the level debug.

test_delegate_renews_under_the_token_that_the_worker_has_seen drives a RenewalDelegate: 3, 3, 5, 9 and none for workers that have seen 0, 3, 5, 9 and a later term's 10, where the term owns 3 to 9.

--- a/tealrill/fleet/commands.py
+++ b/tealrill/fleet/commands.py
@@ -64,7 +64,8 @@
         if forgets and self._tokens.advance(machine):
             for task, attempt, status in forgets:
                 commands.append(wire.forget_command(status.task, attempt))
-                self._fencing_log.on_forget(machine.id, task, attempt, now)
+                token = self._tokens.current(machine)
+                self._fencing_log.on_forget(machine.id, task, attempt, token, now)
         if not machine.releasing:
             for binding in machine.bindings.values():
                 if (
@@ -73,6 +74,13 @@
                     and self._may_send_in_response(binding)
                 ):
                     binding.sent = HeartbeatSequence(heartbeat.sequence)
+                    self._fencing_log.on_start(
+                        machine.id,
+                        binding.task,
+                        binding.attempt,
+                        self._tokens.current(machine),
+                        "response",
+                    )
                     commands.append(wire.start_command(str(binding.task), binding.attempt))
         return commands
 
--- a/tealrill/fleet/fencing_log.py
+++ b/tealrill/fleet/fencing_log.py
@@ -45,8 +45,31 @@
         self._term = term
         self._forgotten: OrderedDict[tuple[MachineId, TaskId, Attempt], Monotonic] = OrderedDict()
 
-    def on_forget(self, machine: MachineId, task: TaskId, attempt: Attempt, now: Monotonic) -> None:
+    def on_start(
+        self, machine: MachineId, task: TaskId, attempt: Attempt, token: FencingToken, way: str
+    ) -> None:
+        """Log a start command that is sent; `way` tells how, such as "direct"."""
+        log.debug(
+            "start sent: machine=%s task=%s attempt=%d token=%d way=%s",
+            machine,
+            task,
+            attempt,
+            token,
+            way,
+        )
+
+    def on_forget(
+        self,
+        machine: MachineId,
+        task: TaskId,
+        attempt: Attempt,
+        token: FencingToken,
+        now: Monotonic,
+    ) -> None:
         """Remember that a worker was told to forget an attempt."""
+        log.debug(
+            "forget sent: machine=%s task=%s attempt=%d token=%d", machine, task, attempt, token
+        )
         self.counts.forgotten += 1
         self._forgotten[machine, task, attempt] = now
         if len(self._forgotten) > MAX_REMEMBERED_FORGETS:
--- a/tealrill/leader/direct_commands.py
+++ b/tealrill/leader/direct_commands.py
@@ -81,6 +81,10 @@
             token = self._fleet.tokens.current(machine)
             body = wire.encode(wire.direct_commands(token, machine.incarnation, commands))
             self._fleet.commands.direct_sent(starts)
+            for binding in starts:
+                self._fleet.fencing_log.on_start(
+                    machine.id, binding.task, binding.attempt, token, "direct"
+                )
             if not await self._request(machine, token, body, starts):
                 return
             self._wake()
--- a/tests/test_fencing_log.py
+++ b/tests/test_fencing_log.py
@@ -10,8 +10,17 @@
 from tealrill.fleet.fencing_log import MAX_REMEMBERED_FORGETS, FencingCounts, FencingLog
 from tealrill.fleet.inventory import Fleet
 from tealrill.state.job_store import JobStore
-from tealrill.types import Attempt, FencingToken, JobId, MachineId, Monotonic, TaskId, Wall
-from tests.samples import make_heartbeat
+from tealrill.types import (
+    Attempt,
+    FencingToken,
+    JobId,
+    MachineId,
+    Monotonic,
+    Revision,
+    TaskId,
+    Wall,
+)
+from tests.samples import make_heartbeat, spec
 
 TERM = FencingToken(1)
 MACHINE = MachineId("m-1")
@@ -71,10 +80,38 @@
     assert line == f"direct commands refused: machine=m-1 term=1 {reason}"
 
 
+def test_log_tells_under_which_tokens_an_attempt_was_started_and_forgotten(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    job_store = JobStore(4.0)
+    job = job_store.add(spec(id="wk-000412", pieces=1), Wall(0.0), Revision(1))
+    fleet = Fleet(job_store, TERM, NOW, 8.0)
+    fleet.inherit([], NOW)
+    with caplog.at_level(logging.DEBUG, "tealrill.fleet.fencing_log"):
+        heartbeat = make_heartbeat(MACHINE, 1, 1, TERM)
+        fleet.heartbeats.process(heartbeat, MACHINE, NOW, Wall(0.0))
+        binding = fleet.bind(job, fleet.machines[MACHINE], False, Wall(0.0), NOW)
+        assert binding is not None
+        for sequence in (2, 3, 4):
+            binding.chunk.committed = binding.chunk.version
+            exited = (str(binding.task), 1, wire.EXITED, wire.WHY_DONE)
+            heartbeat = make_heartbeat(MACHINE, 1, sequence, TERM, [exited] if sequence > 2 else [])
+            fleet.heartbeats.process(heartbeat, MACHINE, NOW, Wall(0.0))
+    lines = [
+        record.getMessage()
+        for record in caplog.records
+        if record.name == "tealrill.fleet.fencing_log"
+    ]
+    assert lines == [
+        "start sent: machine=m-1 task=wk-000412/0 attempt=1 token=1 way=response",
+        "forget sent: machine=m-1 task=wk-000412/0 attempt=1 token=2",
+    ]
+
+
 def test_number_of_remembered_forgets_is_bounded() -> None:
     fencing_log = FencingLog(TERM)
     for index in range(2 * MAX_REMEMBERED_FORGETS):
-        fencing_log.on_forget(MACHINE, TaskId(JobId("wk-1"), index), Attempt(1), NOW)
+        fencing_log.on_forget(MACHINE, TaskId(JobId("wk-1"), index), Attempt(1), TERM, NOW)
     assert len(fencing_log._forgotten) == MAX_REMEMBERED_FORGETS
 
 
--- a/tests/test_renewal_delegation.py
+++ b/tests/test_renewal_delegation.py
@@ -111,6 +111,26 @@
         return self.delegate.renewal_token(make_heartbeat(MACHINE, 1, 1, 0), MACHINE, self.now)
 
 
+def test_delegate_renews_under_the_token_that_the_worker_has_seen() -> None:
+    node = _DelegateNode(Store())
+    node.election.known_leader = KnownLeader(
+        "node-1", FencingToken(3), Revision(7), FencingToken(9)
+    )
+
+    async def confirm() -> None:
+        for _ in range(2):
+            await node.delegate._ping(cast(Client, node.leader))
+        assert node.election.known_leader is not None
+        await node.delegate.confirm(node.election.known_leader)
+
+    asyncio.run(confirm())
+
+    def token(seen: int) -> FencingToken | None:
+        return node.delegate.renewal_token(make_heartbeat(MACHINE, 1, 1, seen), MACHINE, node.now)
+
+    assert [token(seen) for seen in (0, 3, 5, 9, 10)] == [3, 3, 5, 9, None]
+
+
 def _delegations(store: Store) -> Delegations:
     return Delegations(cast(StateClient, store), LEADER.term, LEADER.mod_revision, lambda: None)
 
