DirectCommands get the parts they need; one sample of a chunk with a bound task

DirectCommands took the whole Fleet for its commands, heartbeats, tokens and fencing log; it now gets these four, and does not import fleet/inventory.py any more. Two tests made the same chunk record; it stands in tests/samples.py.

--- a/tealrill/leader/direct_commands.py
+++ b/tealrill/leader/direct_commands.py
@@ -8,9 +8,12 @@
 from typing import Final
 
 from tealrill import wire
+from tealrill.fleet.commands import Commands
 from tealrill.fleet.connections import ConnectionPool
-from tealrill.fleet.inventory import Fleet
+from tealrill.fleet.fencing_log import FencingLog
+from tealrill.fleet.heartbeats import HeartbeatProcessor
 from tealrill.fleet.machine import Machine
+from tealrill.fleet.machine_tokens import MachineTokens
 from tealrill.http import NoAnswerError
 from tealrill.settings import SettingsError
 from tealrill.state.bindings import Binding
@@ -28,13 +31,19 @@
 
     def __init__(
         self,
-        fleet: Fleet,
+        commands: Commands,
+        heartbeats: HeartbeatProcessor,
+        tokens: MachineTokens,
+        fencing_log: FencingLog,
         connections: ConnectionPool,
         is_valid: Callable[[], bool],
         wake: Callable[[], None],
     ) -> None:
         """Send commands while `is_valid` returns True; call `wake` after each success."""
-        self._fleet = fleet
+        self._commands = commands
+        self._heartbeats = heartbeats
+        self._tokens = tokens
+        self._fencing_log = fencing_log
         self._connections = connections
         self._is_valid = is_valid
         self._wake = wake
@@ -72,17 +81,17 @@
 
         After a failure the commands are sent with the responses to the machine's heartbeats.
         """
-        stops = self._fleet.commands.stops(machine, monotonic_now())
+        stops = self._commands.stops(machine, monotonic_now())
         while self._is_valid() and machine.incarnation is not None:
-            starts = self._fleet.commands.direct_starts(machine)
+            starts = self._commands.direct_starts(machine)
             commands = stops + [wire.start_command(str(b.task), b.attempt) for b in starts]
             if not commands:
                 return
-            token = self._fleet.tokens.current(machine)
+            token = self._tokens.current(machine)
             body = wire.encode(wire.direct_commands(token, machine.incarnation, commands))
-            self._fleet.commands.direct_sent(starts)
+            self._commands.direct_sent(starts)
             for binding in starts:
-                self._fleet.fencing_log.on_start(
+                self._fencing_log.on_start(
                     machine.id, binding.task, binding.attempt, token, "direct"
                 )
             if not await self._request(machine, token, body, starts):
@@ -115,7 +124,7 @@
             if isinstance(error, SettingsError) or (
                 isinstance(error, NoAnswerError) and not error.sent
             ):
-                self._fleet.commands.direct_refused(starts)
+                self._commands.direct_refused(starts)
             return False
         if report is not None and report.machine != machine.id:
             # The address belongs to another machine by now, whose reply proves nothing here.
@@ -127,13 +136,13 @@
             )
             return False
         if answer.status in (400, 409):
-            self._fleet.fencing_log.on_refused(machine.id, token, report)
-            self._fleet.commands.direct_refused(starts)
+            self._fencing_log.on_refused(machine.id, token, report)
+            self._commands.direct_refused(starts)
         if report is None:
             return False
         # The heartbeat is processed first: once its sequence number is known, an older heartbeat
         # that does not list the task yet can't be taken as proof that the task is gone.
-        self._fleet.heartbeats.handle_direct_reply(report, machine.id, monotonic_now(), wall_now())
+        self._heartbeats.handle_direct_reply(report, machine.id, monotonic_now(), wall_now())
         if answer.status == 200:
-            self._fleet.commands.direct_executed(starts)
+            self._commands.direct_executed(starts)
         return answer.status == 200
--- a/tealrill/leader/leader.py
+++ b/tealrill/leader/leader.py
@@ -146,7 +146,15 @@
         """Compose the components that schedule tasks, send commands to workers and probe them."""
         self._connections = ConnectionPool(params.quota.fd_limit, lambda: len(self.fleet.machines))
         self.fleet.deregistered = self._connections.drop
-        self.direct_commands = DirectCommands(self.fleet, self._connections, self._valid, self.wake)
+        self.direct_commands = DirectCommands(
+            self.fleet.commands,
+            self.fleet.heartbeats,
+            self.fleet.tokens,
+            self.fleet.fencing_log,
+            self._connections,
+            self._valid,
+            self.wake,
+        )
         self.scheduling_loop = SchedulingLoop(
             self.job_store,
             self.fleet,
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -10,8 +10,19 @@
 from tealrill.fleet.intent_log import IntentLog
 from tealrill.scheduler.model import EstimateCorrection, JobView, MachineView, RunningTask
 from tealrill.state.fencing import Duty
+from tealrill.state.records import BoundEntry, encode_chunk
 from tealrill.state.transaction_batch import JoinedWrite
-from tealrill.types import FencingToken, JobId, MachineId, Monotonic, Revision, TaskId
+from tealrill.types import (
+    Attempt,
+    FencingToken,
+    Incarnation,
+    JobId,
+    MachineId,
+    Monotonic,
+    Revision,
+    TaskId,
+    Wall,
+)
 
 SETTINGS: dict[str, Any] = {
     "host_name": "node-0",
@@ -61,6 +72,12 @@
     return wire.decode(orjson.dumps({**SUBMISSION, **changes}), wire.JobSpec)
 
 
+def make_chunk_with_bound_task(machine: MachineId) -> Any:
+    """Return the record of a chunk of one task, whose first attempt is bound to the machine."""
+    bound = BoundEntry(machine, Incarnation(1), Attempt(1), False, False, Wall(0.0))
+    return encode_chunk(1, [bound.encode(Attempt(2))], {})
+
+
 def make_heartbeat(
     machine: str,
     incarnation: int,
--- a/tests/test_cancellation_deadlines.py
+++ b/tests/test_cancellation_deadlines.py
@@ -60,16 +60,12 @@
     JOB_PREFIX,
     OUTCOME_FAILED,
     RUN_PREFIX,
-    BoundEntry,
     chunk_key,
-    encode_chunk,
     ended_key,
     job_key,
 )
 from tealrill.types import (
-    Attempt,
     FencingToken,
-    Incarnation,
     JobId,
     LeaseId,
     MachineId,
@@ -77,7 +73,7 @@
     Revision,
     Wall,
 )
-from tests.samples import SETTINGS, make_heartbeat, spec
+from tests.samples import SETTINGS, make_chunk_with_bound_task, make_heartbeat, spec
 from tests.test_bindings import Worker
 
 _HOSTS = 3
@@ -515,8 +511,7 @@
         """Called while the leader loads the records."""
 
     async def scan(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
-        bound = BoundEntry(_MACHINE, Incarnation(1), Attempt(1), False, False, Wall(0.0))
-        chunk = encode_chunk(1, [bound.encode(Attempt(2))], {})
+        chunk = make_chunk_with_bound_task(_MACHINE)
         jobs = [
             (job_key(JobId("wk-000412")), {"spec": wire.to_builtins(spec(pieces=1)), "at": 0.0})
         ]
--- a/tests/test_leader_churn.py
+++ b/tests/test_leader_churn.py
@@ -26,17 +26,15 @@
 from tealrill.simulation.process import ClusterConfig
 from tealrill.simulation.scenario import run_scenario
 from tealrill.state.job_store import JobStore
-from tealrill.state.records import BoundEntry, encode_chunk
+from tealrill.state.records import encode_chunk
 from tealrill.types import (
-    Attempt,
     FencingToken,
-    Incarnation,
     MachineId,
     Monotonic,
     Revision,
     Wall,
 )
-from tests.samples import make_heartbeat, spec
+from tests.samples import make_chunk_with_bound_task, make_heartbeat, spec
 
 LONG_JOBS = ((4, 90.0), (6, 100.0), (2, 120.0))
 """Number of tasks and run time in seconds; no task ends before its cancellation must end it."""
@@ -99,8 +97,7 @@
     def __init__(self, bound: bool = True, cancelled: bool = True) -> None:
         self.job_store = JobStore(4.0)
         self.job = self.job_store.add(spec(pieces=1), Wall(0.0), Revision(1))
-        entry = BoundEntry(MACHINE, Incarnation(1), Attempt(1), False, False, Wall(0.0))
-        record = encode_chunk(1, [entry.encode(Attempt(2)) if bound else [2]], {})
+        record = make_chunk_with_bound_task(MACHINE) if bound else encode_chunk(1, [[2]], {})
         bindings = self.job_store.load(self.job, 0, record, Revision(2))
         self.fleet = Fleet(self.job_store, TERM, ELECTED_AT, 15.25)
         self.fleet.inherit(bindings, ELECTED_AT)
