A forget raises the machine's token only where a direct start is not fenced yet

A higher token is a change that a worker reports half a second later, and until then it can't report the end of a task.

Most of these raises fence nothing: several tasks are started under one token, and the first forget has fenced them all. A binding now has the token of its last direct start, an exit takes it over, and the token is raised only if a forgotten attempt's is not lower than the machine's (or is not known, as without a binding).

Tests: attempts that one raise has fenced, an attempt started by a response alone, a direct start under the raised token; those of stand. Two of them now send a direct start first, since a response's start needs no raise.

--- a/tealrill/fleet/commands.py
+++ b/tealrill/fleet/commands.py
@@ -50,21 +50,25 @@
     ) -> list[dict[str, Any]]:
         """Return the commands for a heartbeat's response; the starts among them count as sent.
 
-        Commands to forget raise the machine's token, which the response has to carry: a worker that
-        has forgotten an attempt would run it again for a late copy of its direct start, and refuses
-        the copy for its lower token.
+        The response has to carry the machine's token. Commands to forget raise it where the attempt
+        would otherwise run again: a worker that has forgotten an attempt starts it for a late copy
+        of its direct start, and refuses the copy if its token is lower.
         """
         commands = self.stops(machine, now)
         forgets: list[tuple[TaskId, Attempt, wire.TaskStatus]] = []
+        all_fenced, token = True, self._tokens.current(machine)
         for task, attempt, status in machine.exited_or_unbound:
             if status.state != wire.EXITED:
                 commands.append(wire.stop_command(status.task, attempt, 0.0))
-            elif machine.exited.get((task, attempt), UNKNOWN_EXIT).is_committed:
+                continue
+            exited = machine.exited.get((task, attempt), UNKNOWN_EXIT)
+            if exited.is_committed:
                 forgets.append((task, attempt, status))
-        if forgets and self._tokens.advance(machine):
+                all_fenced = all_fenced and exited.is_fenced_by(token)
+        if all_fenced or self._tokens.advance(machine):
+            token = self._tokens.current(machine)
             for task, attempt, status in forgets:
                 commands.append(wire.forget_command(status.task, attempt))
-                token = self._tokens.current(machine)
                 self._fencing_log.on_forget(machine.id, task, attempt, token, now)
         if not machine.releasing:
             for binding in machine.bindings.values():
@@ -128,6 +132,9 @@
         """Record that direct starts are in flight: they may be executed at any later time."""
         for binding in bindings:
             binding.direct_start_in_flight = True
+            machine = self._machines.get(binding.machine)
+            if machine is not None:
+                binding.direct_token = self._tokens.current(machine)
 
     def direct_executed(self, bindings: Iterable[Binding]) -> None:
         """Record that the worker executed the direct starts (it answered 200).
--- a/tealrill/fleet/machine.py
+++ b/tealrill/fleet/machine.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Exit:
-    """An exited attempt, and the chunk's version after which the worker may forget it."""
+    """An exited attempt, and what must be so before the worker may forget it."""
 
     chunk: Chunk | None
     version: int
@@ -29,12 +29,22 @@
 
     Until it is committed, a new leader does not know the outcome and would run the task again.
     """
+    direct_token: FencingToken | None = None
+    """Token of the attempt's last direct start, 0 if it had none in this term; None if unknown.
+
+    A worker that has forgotten the attempt must have seen a higher one, or it would run the attempt
+    again for a late copy of that start.
+    """
 
     @property
     def is_committed(self) -> bool:
         """Return whether the outcome is committed."""
         return self.chunk is None or self.chunk.committed >= self.version
 
+    def is_fenced_by(self, token: FencingToken) -> bool:
+        """Return whether a worker that has seen `token` refuses the attempt's direct starts."""
+        return self.direct_token is not None and self.direct_token < token
+
 
 UNKNOWN_EXIT: Final = Exit(None, 0)
 
--- a/tealrill/fleet/reconciliation.py
+++ b/tealrill/fleet/reconciliation.py
@@ -141,7 +141,7 @@
             machine.refused_until = Monotonic(now + 2.0)
         self._fleet.unbind(machine, binding, now, f"exited ({status.why})")
         key = (binding.task, binding.attempt)
-        machine.exited[key] = Exit(binding.chunk, binding.chunk.version)
+        machine.exited[key] = Exit(binding.chunk, binding.chunk.version, binding.direct_token)
         self._fleet.changed()
 
     def _record_failure(self, machine: Machine, binding: Binding, now: Monotonic) -> None:
--- a/tealrill/state/bindings.py
+++ b/tealrill/state/bindings.py
@@ -14,6 +14,7 @@
 from tealrill.types import (
     ABSENT,
     Attempt,
+    FencingToken,
     HeartbeatSequence,
     Incarnation,
     JobId,
@@ -46,6 +47,8 @@
     """The worker has listed the task in a heartbeat or has executed a direct start of it."""
     direct_start_in_flight: bool = False
     """A direct start was sent and not answered; it may still arrive at any later time."""
+    direct_token: FencingToken = FencingToken(0)
+    """Fencing token of its last direct start; 0 if this term has sent none."""
     last_listed_in: HeartbeatSequence | None = None
     """Sequence number of this incarnation's last heartbeat that listed the task."""
     state: str | None = None
--- a/tests/test_fencing_log.py
+++ b/tests/test_fencing_log.py
@@ -92,6 +92,7 @@
         fleet.heartbeats.process(heartbeat, MACHINE, NOW, Wall(0.0))
         binding = fleet.bind(job, fleet.machines[MACHINE], False, Wall(0.0), NOW)
         assert binding is not None
+        fleet.commands.direct_sent([binding])
         for sequence in (2, 3, 4):
             binding.chunk.committed = binding.chunk.version
             exited = (str(binding.task), 1, wire.EXITED, wire.WHY_DONE)
--- a/tests/test_machine_tokens.py
+++ b/tests/test_machine_tokens.py
@@ -107,6 +107,7 @@
     term.answer(TERM)
     binding = term.bind()
     term.machine.token = last_token_of(TERM)
+    term.fleet.commands.direct_sent([binding])
     term.answer(TERM, _exited(binding, wire.WHY_DONE))
     term.commit()
     assert term.answer(TERM, _exited(binding, wire.WHY_DONE)) == []
@@ -146,6 +147,51 @@
     assert term.token > direct_token
 
 
+def test_attempt_without_direct_start_is_forgotten_under_the_same_token() -> None:
+    """Starts in responses are not executed late, so that a higher token would fence nothing."""
+    term = _Term()
+    term.answer(TERM)
+    binding = term.bind()
+    start = wire.start_command(str(binding.task), binding.attempt)
+    assert term.answer(TERM) == [start]
+    term.answer(TERM, _exited(binding, wire.WHY_DONE))
+    term.commit()
+    forget = wire.forget_command(str(binding.task), binding.attempt)
+    assert term.answer(TERM, _exited(binding, wire.WHY_DONE)) == [forget]
+    assert term.token == TERM
+
+
+def test_attempts_fenced_together_are_forgotten_one_after_the_other() -> None:
+    term = _Term()
+    term.answer(TERM)
+    first, second = term.bind(), term.bind()
+    term.fleet.commands.direct_sent([first, second])
+    term.fleet.commands.direct_executed([first, second])
+    exits = [_exited(first, wire.WHY_DONE), _exited(second, wire.WHY_DONE)]
+    running = (str(second.task), second.attempt, wire.RUNNING, None)
+    term.answer(TERM, exits[0], running)
+    term.commit()
+    assert term.answer(TERM, exits[0], running) == [wire.forget_command(exits[0][0], 1)]
+    assert term.token == TERM + 1
+    term.answer(TERM + 1, exits[1])
+    term.commit()
+    assert term.answer(TERM + 1, exits[1]) == [wire.forget_command(exits[1][0], 1)]
+    assert term.token == TERM + 1
+
+
+def test_direct_start_under_the_raised_token_is_fenced_by_the_next_one() -> None:
+    """The first forget may be lost, so that the worker learns of the token by the direct start."""
+    term = _Term()
+    term.answer(TERM, ("wk-000999/0", 4, wire.EXITED, wire.WHY_STOPPED))
+    binding = term.bind()
+    term.fleet.commands.direct_sent([binding])
+    assert binding.direct_token == term.token == TERM + 1
+    term.answer(TERM + 1, _exited(binding, wire.WHY_ERROR))
+    term.commit()
+    term.answer(TERM + 1, _exited(binding, wire.WHY_ERROR))
+    assert term.token == TERM + 2
+
+
 def test_forgotten_attempt_without_binding_is_fenced() -> None:
     term = _Term()
     forget = wire.forget_command("wk-000999/0", 4)
